--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"calicopitch/internal/wire"
+	"poppyarch/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"time"
 
-	"calicopitch/policy"
+	"poppyarch/policy"
 )
 
 // settings mirrors the part of the first message that the module uses; other keys are ignored.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strings"
 	"time"
 
-	"calicopitch/policy"
+	"poppyarch/policy"
 )
 
 var outcomes = map[string]policy.Outcome{
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"calicopitch/policy"
+	"poppyarch/policy"
 )
 
 func Example() {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,4 +1,4 @@
-// The decisions of calicopitch. Types are in api.go: settings, events and actions.
+// The decisions of poppyarch. Types are in api.go: settings, events and actions.
 //
 // Reading order: constants; state; Step; requests and answers; queues, tags, compensation; depth; rules;
 // admission; discovery. A request's way: take labels it, place queues it, dispatch sends it when its node has
