--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,335 @@
+// Package config is the one place where the broker's configuration is read, checked and given defaults. Every
+// error names the faulty key.
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/limits"
+	"poppyarch/internal/settings"
+	"poppyarch/policy"
+)
+
+// Config is a checked configuration.
+type Config struct {
+	Name      string
+	Listen    string // of the platform's protocol; empty: that front is off
+	Discovery string
+	Seed      uint64
+	Known     discovery.List
+	Policy    policy.Config
+	Zones     []string
+	Limits    limits.Limits
+	Object    *Object // nil: the object front is off
+	LogLevel  string
+}
+
+// Object sets up the object front.
+type Object struct {
+	Listen    string            `json:"listen"`
+	Shards    int               `json:"shards"`     // nodes that objects are spread over, by their names
+	UnitBytes int64             `json:"unit_bytes"` // one unit of a request's size
+	Read      string            `json:"read_class"`
+	Write     string            `json:"write_class"`
+	Complete  string            `json:"complete_class"` // must never run twice
+	Plan      string            `json:"default_plan"`
+	Buckets   map[string]string `json:"buckets"` // plans by bucket
+}
+
+// file is the form of the configuration file.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int64   `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    discovery.List  `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+	Object   *Object         `json:"object"`
+	Log      string          `json:"log"`
+	Tuning   json.RawMessage `json:"tuning"` // single figures of limits.Limits, in its words
+}
+
+// extra is the part of the settings that concerns connections and not decisions.
+type extra struct {
+	Zones  []string `json:"zones"`
+	Limits struct {
+		Connect   int64 `json:"connect_timeout_ns"`
+		Keepalive int64 `json:"keepalive_ns"`
+		MaxOpen   int   `json:"max_open"`
+	} `json:"limits"`
+	Specifics struct {
+		Shards int `json:"n_shards"`
+	} `json:"specifics"`
+}
+
+// Load reads the configuration from the environment: LB_CONFIG names the file, the other variables override its
+// first keys.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, errors.New("LB_CONFIG: not set; it names the configuration file")
+	}
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	defer f.Close()
+	const most = 16 << 20
+	text, err := io.ReadAll(io.LimitReader(f, most+1))
+	if err != nil {
+		return nil, fmt.Errorf("LB_CONFIG: %w", err)
+	}
+	if len(text) > most {
+		return nil, fmt.Errorf("LB_CONFIG: %s is over %d bytes", path, most)
+	}
+	cfg, err := Parse(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+// Parse checks the text of a configuration file and fills in defaults.
+func Parse(text []byte, getenv func(string) string) (*Config, error) {
+	var in file
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, named(err)
+	}
+	for key, to := range map[string]*string{
+		"LB_NAME": &in.Name, "LB_LISTEN": &in.Listen, "LB_DISCOVERY": &in.Discovery,
+	} {
+		if v := getenv(key); v != "" {
+			*to = v
+		}
+	}
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: in.Known, Object: in.Object,
+		LogLevel: in.Log}
+	if c.Name == "" {
+		c.Name = "broker"
+	}
+	if c.Listen == "" && c.Object == nil {
+		return nil, errors.New("listen: missing (and no object front is set up)")
+	}
+	for key, v := range map[string]string{"listen": c.Listen, "discovery": c.Discovery} {
+		if v == "" && key == "listen" {
+			continue
+		}
+		if err := address(v); err != nil {
+			return nil, fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	switch c.LogLevel {
+	case "":
+		c.LogLevel = "info"
+	case "debug", "info", "warn", "error":
+	default:
+		return nil, fmt.Errorf("log: %q is none of debug, info, warn, error", c.LogLevel)
+	}
+	c.Seed = uint64(time.Now().UnixNano())
+	if in.Seed != "" {
+		seed, err := strconv.ParseUint(in.Seed, 16, 64)
+		if err != nil {
+			return nil, fmt.Errorf("seed: %q is not a number of up to 16 hex digits", in.Seed)
+		}
+		c.Seed = seed
+	}
+	if len(in.Settings) == 0 {
+		return nil, errors.New("settings: missing")
+	}
+	var err error
+	if c.Policy, err = settings.Parse(string(in.Settings), c.Seed); err != nil {
+		return nil, err
+	}
+	if _, err := policy.New(c.Policy); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	var ex extra
+	if err := json.Unmarshal(in.Settings, &ex); err != nil {
+		return nil, fmt.Errorf("settings: %w", named(err))
+	}
+	c.Zones = ex.Zones
+	if _, err := c.Known.Nodes(c.Zones); err != nil {
+		return nil, fmt.Errorf("known.%w", err)
+	}
+	if err := c.fillLimits(&in, &ex); err != nil {
+		return nil, err
+	}
+	if c.Object != nil {
+		if err := c.checkObject(&ex); err != nil {
+			return nil, fmt.Errorf("object.%w", err)
+		}
+	}
+	return c, nil
+}
+
+// fillLimits derives the limits from what the machine and the settings allow; tuning overrides single figures.
+func (c *Config) fillLimits(in *file, ex *extra) error {
+	m := in.Limits
+	if m.Cores < 0 || m.MemoryMB < 0 || m.Sockets < 0 {
+		return errors.New("limits: cores, memory_mb and sockets cannot be negative")
+	}
+	if m.Cores == 0 {
+		m.Cores = 1
+	}
+	if m.MemoryMB == 0 {
+		m.MemoryMB = 192
+	}
+	if m.Sockets == 0 {
+		m.Sockets = 1024
+	}
+	if m.MemoryMB < 32 {
+		return fmt.Errorf("limits.memory_mb: %d is under 32", m.MemoryMB)
+	}
+	if m.Sockets < 64 {
+		return fmt.Errorf("limits.sockets: %d is under 64", m.Sockets)
+	}
+	const ms, s = int64(1000), int64(1000000)
+	memory := m.MemoryMB << 20
+	free := m.Sockets - 32 // the runtime's own, standard streams, listeners, discovery
+	l := limits.Limits{
+		Procs: max(int(m.Cores), 1), Memory: memory * 6 / 10, Descriptors: m.Sockets,
+		ClientConns: free * 2 / 3, NodeConns: free / 3,
+		MaxOpen: 4096, MaxBodies: memory / 6, MaxPipeline: 128, MaxMessage: 72 << 10, MaxArgs: 16, MaxValue: 64 << 10,
+		ClientWrite: 5 * s, AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
+		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, IdlePerNode: 16,
+		ListWait: 10 * s, ListGrace: 2 * s, MaxList: 4 << 20, MaxListRows: 10000,
+		MaxObject: 16 << 20, MaxHead: 16 << 10, ObjectBuffer: 64 << 10, MaxParts: 10000, ObjectIdle: 60 * s,
+		ObjectStall: 10 * s, MaxCompletion: 1 << 20,
+	}
+	if v := ex.Limits.Connect; v > 0 {
+		l.Connect = v / 1000
+	}
+	if v := ex.Limits.Keepalive; v > 0 { // well before the nodes close it
+		l.NodeIdle = min(l.NodeIdle, v/1000/3)
+		l.NodeFresh = min(l.NodeFresh, l.NodeIdle/2)
+	}
+	if v := ex.Limits.MaxOpen; v > 0 {
+		l.MaxOpen = min(l.MaxOpen, v)
+	}
+	for _, k := range c.Policy.Classes {
+		l.DrainTotal = max(l.DrainTotal, k.Deadline.Microseconds()+500*ms)
+	}
+	if len(in.Tuning) > 0 {
+		d := json.NewDecoder(bytes.NewReader(in.Tuning))
+		d.DisallowUnknownFields()
+		if err := d.Decode(&l); err != nil {
+			return fmt.Errorf("tuning: %w", named(err))
+		}
+	}
+	for key, v := range map[string]int64{
+		"procs": int64(l.Procs), "client_conns": int64(l.ClientConns), "node_conns": int64(l.NodeConns),
+		"max_open": int64(l.MaxOpen), "max_message": int64(l.MaxMessage), "max_pipeline": int64(l.MaxPipeline),
+		"max_args": int64(l.MaxArgs), "max_value": int64(l.MaxValue), "connect": l.Connect, "node_idle": l.NodeIdle,
+		"list_wait": l.ListWait, "list_grace": l.ListGrace, "client_write": l.ClientWrite,
+		"max_object": l.MaxObject, "object_buffer": int64(l.ObjectBuffer), "object_stall": l.ObjectStall,
+	} {
+		if v <= 0 {
+			return fmt.Errorf("tuning.%s: %d is not above 0", key, v)
+		}
+	}
+	if l.ClientConns+l.NodeConns+16 > l.Descriptors {
+		return fmt.Errorf("tuning.client_conns: %d with %d node_conns do not fit %d descriptors",
+			l.ClientConns, l.NodeConns, l.Descriptors)
+	}
+	c.Limits = l
+	return nil
+}
+
+// checkObject checks the object front's keys and gives defaults.
+func (c *Config) checkObject(ex *extra) error {
+	o := c.Object
+	if err := address(o.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	if o.Shards == 0 {
+		o.Shards = ex.Specifics.Shards
+	}
+	if o.Shards <= 0 {
+		return errors.New("shards: must be above 0 (settings.specifics.n_shards is missing too)")
+	}
+	if o.UnitBytes == 0 {
+		o.UnitBytes = 1 << 20
+	}
+	if o.UnitBytes < 0 {
+		return fmt.Errorf("unit_bytes: %d is negative", o.UnitBytes)
+	}
+	for key, name := range map[string]string{"read_class": o.Read, "write_class": o.Write, "complete_class": o.Complete} {
+		i := c.Class(name)
+		if i < 0 {
+			return fmt.Errorf("%s: settings name no class %q", key, name)
+		}
+		if safe := c.Policy.Classes[i].Repeat == policy.Safe; key == "read_class" && !safe {
+			return fmt.Errorf("%s: class %q may not be repeated, but reads are", key, name)
+		}
+		if unsafe := c.Policy.Classes[i].Repeat == policy.Unsafe; key == "complete_class" && !unsafe {
+			return fmt.Errorf("%s: class %q may run twice, but completions must not", key, name)
+		}
+	}
+	if c.Plan(o.Plan) < 0 {
+		return fmt.Errorf("default_plan: settings name no plan %q", o.Plan)
+	}
+	for bucket, plan := range o.Buckets {
+		if c.Plan(plan) < 0 {
+			return fmt.Errorf("buckets.%s: settings name no plan %q", bucket, plan)
+		}
+	}
+	return nil
+}
+
+// Class is the number of a class, or -1.
+func (c *Config) Class(name string) int {
+	for i, k := range c.Policy.Classes {
+		if k.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// Plan is the number of a plan, or -1.
+func (c *Config) Plan(name string) int {
+	for i, p := range c.Policy.Plans {
+		if p.Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// address checks host:port.
+func address(s string) error {
+	if s == "" {
+		return errors.New("missing")
+	}
+	_, port, err := net.SplitHostPort(s)
+	if err != nil {
+		return fmt.Errorf("%q is not HOST:PORT", s)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n > 65535 {
+		return fmt.Errorf("%q has no numeric port", s)
+	}
+	return nil
+}
+
+// named makes encoding/json's errors name the key.
+func named(err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return fmt.Errorf("%s: cannot be a %s", te.Field, te.Value)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,145 @@
+// Package core is a request's life from its arrival to its one final answer. It knows no wire: fronts hand it
+// requests, backends make the attempts, and the decision module says what comes next.
+package core
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/limits"
+	"poppyarch/policy"
+)
+
+// Outcome tells how an attempt ended.
+type Outcome = policy.Outcome
+
+// The outcomes a backend may report.
+const (
+	Served         = policy.Served
+	NodeError      = policy.NodeError
+	TurnedAway     = policy.TurnedAway
+	TimedOut       = policy.TimedOut
+	NoConnection   = policy.NoConnection
+	ConnectionLost = policy.ConnectionLost
+	Cancelled      = policy.Cancelled
+	NotSent        = policy.NotSent
+)
+
+// ErrClientLeft is the cause with which a front cancels a request whose client went away.
+var ErrClientLeft = errors.New("client left")
+
+// Request is one request as a front takes it. Work is what its backend shall do; the core only passes it on.
+type Request[W any] struct {
+	policy.Job
+	Unsafe bool // must never run twice
+	Work   W
+}
+
+// Attempt is one try at one node.
+type Attempt[W any] struct {
+	Node     Node
+	Work     W
+	Unsafe   bool
+	Number   int   // of the request, from 0 on
+	Deadline int64 // the broker stops waiting then
+	// Open reports whether the node still takes new work. It is asked once more after dialling, right before
+	// the first byte: the list may have changed meanwhile.
+	Open func() bool
+	// Begin tells that the answer starts to reach the client, which ends the request for the module.
+	Begin func()
+}
+
+// Backend makes attempts. Do returns by the attempt's deadline or soon after ctx is done.
+type Backend[W, V any] interface {
+	Do(ctx context.Context, a Attempt[W]) (V, Outcome)
+}
+
+// Kind is the kind of a final answer.
+type Kind uint8
+
+// The kinds of answers.
+const (
+	Success Kind = iota
+	Refusal      // nothing ran; trying again is harmless
+	Failure      // it may have run
+)
+
+// Answer is the one final answer of a request.
+type Answer[V any] struct {
+	Kind    Kind
+	Value   V     // of a Success
+	Hint    int64 // of a Refusal: come again after so many microseconds; 0: no advice
+	Overdue bool  // of a Failure: the client's time ran out
+}
+
+// Broker joins one front's requests with the backend that serves them.
+type Broker[W, V any] struct {
+	facade  *policy.Facade
+	nodes   *Nodes
+	backend Backend[W, V]
+	clock   *clock.Clock
+	lim     *limits.Limits
+	open    *Gate
+}
+
+// NewBroker returns a broker. Several may share a module, a node table and a gate.
+func NewBroker[W, V any](f *policy.Facade, n *Nodes, g *Gate, b Backend[W, V], c *clock.Clock,
+	lim *limits.Limits) *Broker[W, V] {
+	return &Broker[W, V]{facade: f, nodes: n, backend: b, clock: c, lim: lim, open: g}
+}
+
+// Do carries a request to its final answer, which comes before the request is due. Where ctx is done earlier
+// the client has left and the answer reaches nobody.
+func (b *Broker[W, V]) Do(ctx context.Context, r Request[W]) Answer[V] {
+	if !b.open.Enter() {
+		return Answer[V]{Kind: Refusal} // the process is full: nothing ran
+	}
+	defer b.open.Leave()
+	last := r.Due - b.lim.AnswerMargin
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(last-b.clock.Now()))
+	defer cancel()
+	id, d := b.facade.Pick(ctx, r.Job)
+	for number := 0; d.Verdict == policy.ToNode; number++ {
+		node, _ := b.nodes.Get(d.Node)
+		v, out := b.backend.Do(ctx, Attempt[W]{
+			Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
+			Deadline: min(b.clock.Now()+d.Timeout, last),
+			Open:     func() bool { return b.nodes.Takes(node) },
+			Begin:    func() { b.facade.Began(id) },
+		})
+		d = b.facade.Report(ctx, id, out)
+		if out == Served {
+			return Answer[V]{Kind: Success, Value: v}
+		}
+	}
+	if d.Verdict == policy.Refused {
+		return Answer[V]{Kind: Refusal, Hint: d.Hint}
+	}
+	return Answer[V]{Kind: Failure, Overdue: d.Verdict == policy.Ended}
+}
+
+// Gate bounds the requests that a process has open over all its fronts.
+type Gate struct {
+	open atomic.Int64
+	max  int64
+}
+
+// NewGate returns a gate for so many.
+func NewGate(n int) *Gate { return &Gate{max: int64(n)} }
+
+// Enter counts one in, or reports that the gate is full.
+func (g *Gate) Enter() bool {
+	if g.open.Add(1) > g.max {
+		g.open.Add(-1)
+		return false
+	}
+	return true
+}
+
+// Leave counts one out.
+func (g *Gate) Leave() { g.open.Add(-1) }
+
+// Open is how many are in.
+func (g *Gate) Open() int64 { return g.open.Load() }
--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,27 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/policy"
+)
+
+// Loop owns the module: each turn reads the clock once, lets the module decide, and waits for news or for the
+// time the module named. It returns when ctx is done.
+func Loop(ctx context.Context, f *policy.Facade, c *clock.Clock) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := c.Now()
+		next := f.Tick(now)
+		timer.Reset(clock.Duration(next - now))
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.Wake():
+		case <-timer.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,203 @@
+// Package discovery keeps the node list up to date: it reads the whole list or watches for changes, over HTTP.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
+	"poppyarch/policy"
+)
+
+// List is the form of the node list, in the platform's words.
+type List struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one entry of it.
+type Target struct {
+	UID            string  `json:"uid"`
+	Endpoint       string  `json:"endpoint"`
+	ObjectEndpoint string  `json:"object_endpoint,omitempty"` // where it differs
+	AZ             string  `json:"az"`
+	Model          string  `json:"model"`
+	PodGroup       int     `json:"pod_group"`
+	State          string  `json:"state"`
+	CapacityHint   float64 `json:"capacity_hint"`
+	BootMS         int64   `json:"boot_ms"`
+}
+
+var states = map[string]policy.NodeState{
+	"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone,
+}
+
+// Nodes turns a list into the core's form. zones numbers the zones by their names.
+func (l *List) Nodes(zones []string) ([]core.Node, error) {
+	out := make([]core.Node, 0, len(l.Targets))
+	for i, t := range l.Targets {
+		state, ok := states[t.State]
+		if !ok {
+			return nil, fmt.Errorf("targets[%d].state: unknown state %q", i, t.State)
+		}
+		if t.UID == "" {
+			return nil, fmt.Errorf("targets[%d].uid: missing", i)
+		}
+		if t.Endpoint == "" && state != policy.Gone {
+			return nil, fmt.Errorf("targets[%d].endpoint: missing", i)
+		}
+		n := core.Node{ID: t.UID, Addr: t.Endpoint, Objects: t.ObjectEndpoint, Shard: t.PodGroup, State: state,
+			Started: t.BootMS * 1000}
+		if n.Objects == "" {
+			n.Objects = n.Addr
+		}
+		for z, name := range zones {
+			if name == t.AZ {
+				n.Zone = z
+			}
+		}
+		out = append(out, n)
+	}
+	return out, nil
+}
+
+// Members turns nodes into what the module's facade takes.
+func Members(nodes []core.Node) []policy.Member {
+	out := make([]policy.Member, 0, len(nodes))
+	for _, n := range nodes {
+		out = append(out, policy.Member{Node: n.ID, Shard: n.Shard, Zone: n.Zone, State: n.State,
+			StartedAt: clock.Duration(n.Started)})
+	}
+	return out
+}
+
+// Client talks to discovery.
+type Client struct {
+	base  string
+	zones []string
+	rev   int64
+	http  *http.Client
+	lim   *limits.Limits
+	table *core.Nodes
+	f     *policy.Facade
+	log   *slog.Logger
+}
+
+// New returns a client that keeps the table and the module up to date. rev is that of the list they know.
+func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
+	log *slog.Logger) *Client {
+	return &Client{
+		base: "http://" + addr + "/catalog/members", zones: zones, rev: rev, table: table, f: f, lim: lim, log: log,
+		http: &http.Client{
+			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
+				IdleConnTimeout: clock.Duration(lim.NodeIdle)},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// Run watches whenever the module wants it, until ctx is done. The module itself decides how long to wait after
+// a failure, so a dead discovery is not hammered and the old list stays in force.
+func (c *Client) Run(ctx context.Context) {
+	defer c.http.CloseIdleConnections()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.f.WatchWanted():
+		}
+		err := c.watch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		c.log.Warn("discovery: watch ended", "err", err)
+		c.f.List(nil, false)
+	}
+}
+
+// watch asks again at once after each answer, so that the watch goes on, and returns the first error. Its first
+// call reads the whole list where none is known.
+func (c *Client) watch(ctx context.Context) error {
+	for {
+		l, err := c.call(ctx, c.rev)
+		if err == nil && l.Rev < c.rev {
+			// Discovery has lost its history: only a whole list says what is left.
+			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
+			l, err = c.call(ctx, 0)
+		}
+		if err != nil {
+			return err
+		}
+		nodes, err := l.Nodes(c.zones)
+		if err != nil {
+			return fmt.Errorf("node list %d: %w", l.Rev, err)
+		}
+		c.rev = l.Rev
+		// The table goes first: what the module decides next is checked against it.
+		c.table.Update(nodes, l.All)
+		c.f.List(Members(nodes), l.All)
+		for _, n := range nodes {
+			c.log.Debug("discovery: node", "node", n.ID, "state", n.State, "addr", n.Addr, "rev", l.Rev)
+		}
+	}
+}
+
+// call makes one call: for what is newer than rev, or with 0 for the whole list.
+func (c *Client) call(ctx context.Context, rev int64) (*List, error) {
+	wait, q := int64(0), url.Values{}
+	if rev > 0 {
+		wait = c.lim.ListWait
+		q.Set("after", strconv.FormatInt(rev, 10))
+		q.Set("wait_ms", strconv.FormatInt(wait/1000, 10))
+	}
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+c.lim.ListGrace))
+	defer cancel()
+	at := c.base
+	if len(q) > 0 {
+		at += "?" + q.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, at, nil)
+	if err != nil {
+		return nil, err
+	}
+	asked := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("status %d after %v", resp.StatusCode, time.Since(asked).Round(time.Millisecond))
+	}
+	return decode(resp.Body, c.lim)
+}
+
+// decode reads one answer within its bounds.
+func decode(r io.Reader, lim *limits.Limits) (*List, error) {
+	body, err := io.ReadAll(io.LimitReader(r, lim.MaxList+1))
+	if err != nil {
+		return nil, fmt.Errorf("node list: %w", err)
+	}
+	if int64(len(body)) > lim.MaxList {
+		return nil, errors.New("node list: too long")
+	}
+	var l List
+	if err := json.Unmarshal(body, &l); err != nil {
+		return nil, fmt.Errorf("node list: %w", err)
+	}
+	if len(l.Targets) > lim.MaxListRows {
+		return nil, fmt.Errorf("node list: %d entries, more than %d", len(l.Targets), lim.MaxListRows)
+	}
+	return &l, nil
+}
--- /dev/null
+++ b/internal/front/block/command.go
@@ -0,0 +1,120 @@
+package block
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"poppyarch/internal/core"
+	"poppyarch/internal/node"
+	"poppyarch/policy"
+)
+
+// Names numbers the classes and plans as the settings name them.
+type Names struct {
+	Classes map[string]int
+	Plans   map[string]int
+	Unsafe  []bool // by class: it must never run twice
+}
+
+// parse turns the words of a command into a request. d counts from its sending, of which its arrival is the
+// nearest that the broker can see.
+func parse(args [][]byte, names *Names, now int64) (core.Request[*node.Command], error) {
+	var r core.Request[*node.Command]
+	write := bytes.EqualFold(args[0], []byte("BLK.WRITE"))
+	want := 4
+	if write {
+		want = 5
+	}
+	if len(args) != want {
+		return r, fmt.Errorf("%s takes %d words, got %d", args[0], want, len(args))
+	}
+	if !hex16(string(args[1])) {
+		return r, fmt.Errorf("piece is not 16 hex digits")
+	}
+	c := &node.Command{Name: args[0], Piece: args[1], ID: args[2], HasBody: write}
+	if write {
+		c.Body = args[4]
+	}
+	r.Work, r.Key, r.Shard, r.Class, r.Plan = c, string(args[1]), -1, -1, -1
+	seen := map[string]bool{}
+	for _, part := range strings.Split(string(args[3]), ",") {
+		name, value, ok := strings.Cut(part, "=")
+		if !ok || name == "" || seen[name] {
+			return r, fmt.Errorf("malformed or repeated field %q", clip(part))
+		}
+		seen[name] = true
+		c.Params = append(c.Params, node.Param{Name: name, Value: value})
+		if err := field(&r, name, value, names, now); err != nil {
+			return r, err
+		}
+	}
+	for _, name := range []string{"c", "t", "d", "volume", "units", "shard"} {
+		if !seen[name] {
+			return r, fmt.Errorf("%s is missing", name)
+		}
+	}
+	r.Unsafe = names.Unsafe[r.Class]
+	return r, nil
+}
+
+// field takes in one name=value. Names it does not know pass on to the node unseen.
+func field(r *core.Request[*node.Command], name, value string, names *Names, now int64) (err error) {
+	known := true
+	switch name {
+	case "c":
+		r.Class, known = names.Classes[value]
+	case "t":
+		r.Plan, known = names.Plans[value]
+	case "volume":
+		r.Volume, known = value, hex16(value)
+	case "d":
+		var ms float64
+		ms, err = strconv.ParseFloat(value, 64)
+		known = ms > 0 && ms <= 1e8
+		r.Due = now + int64(ms*1000)
+	case "units":
+		r.Units, err = strconv.ParseFloat(value, 64)
+		known = r.Units > 0 && !math.IsInf(r.Units, 0)
+	case "shard":
+		r.Shard, err = strconv.Atoi(value)
+		known = r.Shard >= -1
+	case "hosts":
+		r.Hosts, err = strconv.Atoi(value)
+		known = r.Hosts >= 0
+	}
+	if err != nil || !known {
+		return fmt.Errorf("%s: cannot be %q", name, clip(value))
+	}
+	return nil
+}
+
+func hex16(s string) bool {
+	if len(s) != 16 {
+		return false
+	}
+	_, err := strconv.ParseUint(s, 16, 64)
+	return err == nil
+}
+
+func clip(s string) string {
+	if len(s) > 32 {
+		return s[:32]
+	}
+	return s
+}
+
+// NewNames numbers the names of a configuration.
+func NewNames(cfg *policy.Config) *Names {
+	n := &Names{Classes: map[string]int{}, Plans: map[string]int{}}
+	for i, c := range cfg.Classes {
+		n.Classes[c.Name] = i
+		n.Unsafe = append(n.Unsafe, c.Repeat == policy.Unsafe)
+	}
+	for i, p := range cfg.Plans {
+		n.Plans[p.Name] = i
+	}
+	return n
+}
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,46 @@
+// Package limits holds every size, count and time that bounds the broker, in one type. The configuration fills
+// it once at start and hands it down; no package keeps figures of its own.
+package limits
+
+// Limits bounds one broker. Times are microseconds, sizes are bytes.
+type Limits struct {
+	// The machine.
+	Procs       int   `json:"procs"`        // threads that run Go code at once
+	Memory      int64 `json:"memory"`       // the garbage collector's soft limit
+	Descriptors int   `json:"descriptors"`  // descriptors that the process may hold
+	ClientConns int   `json:"client_conns"` // of these, for clients of all fronts
+	NodeConns   int   `json:"node_conns"`   // of these, for storage nodes
+
+	// Clients.
+	MaxOpen      int   `json:"max_open"`      // requests taken and not answered
+	MaxBodies    int64 `json:"max_bodies"`    // bytes of messages held for them, together
+	MaxPipeline  int   `json:"max_pipeline"`  // of these, on one connection
+	MaxMessage   int   `json:"max_message"`   // one command
+	MaxArgs      int   `json:"max_args"`      // words of one command
+	MaxValue     int   `json:"max_value"`     // one value, either way
+	ClientWrite  int64 `json:"client_write"`  // a client takes its answer within this
+	AnswerMargin int64 `json:"answer_margin"` // an answer leaves so long before the client gives up
+	DrainAccept  int64 `json:"drain_accept"`  // after SIGTERM new connections are still taken for this long
+	DrainTotal   int64 `json:"drain_total"`   // after SIGTERM the process ends by then
+
+	// Storage nodes.
+	Connect     int64 `json:"connect"`       // a connection is up within this
+	NodeIdle    int64 `json:"node_idle"`     // an idle connection is dropped after this
+	NodeFresh   int64 `json:"node_fresh"`    // one that was silent for longer carries no work that must not run twice
+	IdlePerNode int   `json:"idle_per_node"` // idle connections kept to one node
+
+	// Discovery.
+	ListWait    int64 `json:"list_wait"`     // how long a watch call waits for news
+	ListGrace   int64 `json:"list_grace"`    // and how much later its answer may come
+	MaxList     int64 `json:"max_list"`      // one answer
+	MaxListRows int   `json:"max_list_rows"` // entries of one answer
+
+	// The object front.
+	MaxObject     int64 `json:"max_object"`     // body of one PUT or part
+	MaxHead       int   `json:"max_head"`       // request line and header
+	ObjectBuffer  int   `json:"object_buffer"`  // of an answer, held back before its first byte goes to the client
+	MaxParts      int   `json:"max_parts"`      // parts of one upload
+	ObjectIdle    int64 `json:"object_idle"`    // an idle HTTP client connection is closed after this
+	ObjectStall   int64 `json:"object_stall"`   // a body that stands still for so long is given up
+	MaxCompletion int64 `json:"max_completion"` // body of a complete call
+}
--- /dev/null
+++ b/internal/node/resp.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+)
+
+// errSyntax says that a node sent what is not RESP2. The connection is of no further use.
+var errSyntax = errors.New("node: malformed reply")
+
+// reply is a node's answer, as far as it matters here.
+type reply struct {
+	value  []byte // the first of an array
+	served bool
+	err    string // of an error reply, without the dash
+}
+
+// Nothing that a node sends makes the reader hold more than one value and a little beside it.
+const (
+	maxLine  = 256
+	maxItems = 16
+	maxDepth = 4
+)
+
+// readReply reads one whole reply. Values above max bytes are refused before anything is set aside for them.
+func readReply(r *bufio.Reader, max int) (reply, error) {
+	line, err := readLine(r)
+	if err != nil {
+		return reply{}, err
+	}
+	switch line[0] {
+	case '-':
+		return reply{err: string(line[1:])}, nil
+	case '*':
+	default:
+		return reply{err: "unexpected reply " + strconv.Quote(string(line[:1]))}, skip(r, line, max, 0)
+	}
+	n, err := length(line, maxItems)
+	if err != nil {
+		return reply{}, err
+	}
+	if n <= 0 {
+		return reply{err: "empty reply"}, nil
+	}
+	if line, err = readLine(r); err != nil {
+		return reply{}, err
+	}
+	out := reply{}
+	if line[0] == '$' {
+		if out.value, err = bulk(r, line, max); err != nil {
+			return reply{}, err
+		}
+		out.served = out.value != nil
+	} else if err := skip(r, line, max, 1); err != nil {
+		return reply{}, err
+	}
+	for i := 1; i < n; i++ { // figures on use and the load report: this module uses neither
+		if line, err = readLine(r); err != nil {
+			return reply{}, err
+		}
+		if err := skip(r, line, max, 1); err != nil {
+			return reply{}, err
+		}
+	}
+	return out, nil
+}
+
+// readLine reads up to CRLF and returns what stands before it, which is never empty.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadSlice('\n')
+	if err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil, errSyntax
+		}
+		return nil, err
+	}
+	if len(line) > maxLine || len(line) < 3 || line[len(line)-2] != '\r' {
+		return nil, errSyntax
+	}
+	return bytes.Clone(line[:len(line)-2]), nil
+}
+
+// length reads the number behind a type byte: from -1, for null, up to most.
+func length(line []byte, most int) (int, error) {
+	n, err := strconv.Atoi(string(line[1:]))
+	if err != nil || n < -1 || n > most || line[1] == '+' {
+		return 0, fmt.Errorf("%w: length %q", errSyntax, line)
+	}
+	return n, nil
+}
+
+// bulk reads the rest of a bulk string; nil is null.
+func bulk(r *bufio.Reader, line []byte, max int) ([]byte, error) {
+	n, err := length(line, max)
+	if err != nil || n < 0 {
+		return nil, err
+	}
+	b := make([]byte, n+2)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, err
+	}
+	if b[n] != '\r' || b[n+1] != '\n' {
+		return nil, errSyntax
+	}
+	return b[:n], nil
+}
+
+// skip reads over the value whose first line is given.
+func skip(r *bufio.Reader, line []byte, max, depth int) error {
+	switch line[0] {
+	case '+', '-', ':':
+		return nil
+	case '$':
+		_, err := bulk(r, line, max)
+		return err
+	case '*':
+		n, err := length(line, maxItems)
+		if err != nil || depth >= maxDepth {
+			return errors.Join(errSyntax, err)
+		}
+		for i := 0; i < n; i++ {
+			next, err := readLine(r)
+			if err != nil {
+				return err
+			}
+			if err := skip(r, next, max, depth+1); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return errSyntax
+}
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,216 @@
+// Package pool keeps connections to storage nodes. A connection carries one attempt at a time, because giving an
+// attempt up closes its connection, and nothing here ever sends anything a second time.
+package pool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/limits"
+)
+
+// ErrFull says that every descriptor set aside for nodes is in use.
+var ErrFull = errors.New("pool: no descriptor left for another node connection")
+
+// Conn is one connection to a node.
+type Conn struct {
+	net.Conn
+	R    *bufio.Reader
+	addr string
+	used int64 // when its last answer came
+}
+
+// Pool holds the idle connections of all nodes.
+type Pool struct {
+	lim   *limits.Limits
+	clock *clock.Clock
+	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
+
+	mu    sync.Mutex
+	idle  map[string][]*Conn // by address, the last used at the end
+	quiet map[string]int64   // by address: when an attempt there last got no answer
+	open  int                // idle, lent and dialling
+}
+
+// New returns an empty pool.
+func New(lim *limits.Limits, c *clock.Clock) *Pool {
+	d := &net.Dialer{KeepAlive: -1} // a silent machine answers no keep-alive either; attempts have their own time
+	return &Pool{lim: lim, clock: c, dial: d.DialContext, idle: map[string][]*Conn{}, quiet: map[string]int64{}}
+}
+
+// Get lends a connection: an idle one that still stands, or else a new one. fresh asks for one that is surely
+// not left over from before the node fell silent, as work needs that must not run twice: written to a stale
+// connection it would end as a reset, after which nobody knows whether it ran.
+func (p *Pool) Get(ctx context.Context, addr string, fresh bool) (c *Conn, err error) {
+	for {
+		c := p.take(addr, fresh)
+		if c == nil {
+			break
+		}
+		if alive(c.Conn) {
+			return c, nil
+		}
+		p.Drop(c)
+	}
+	if !p.reserve() {
+		return nil, ErrFull
+	}
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(p.lim.Connect))
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", addr)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return &Conn{Conn: conn, R: bufio.NewReaderSize(conn, 4096), addr: addr}, nil
+}
+
+// take removes an idle connection, the last used first.
+func (p *Pool) take(addr string, fresh bool) *Conn {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	if now-c.used > p.lim.NodeIdle {
+		return nil // all before it are older; Sweep closes them
+	}
+	if fresh && (now-c.used > p.lim.NodeFresh || c.used <= p.quiet[addr]) {
+		return nil
+	}
+	p.idle[addr] = list[:len(list)-1]
+	return c
+}
+
+// reserve counts a descriptor, at the cost of the longest idle connection where none is left.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open < p.lim.NodeConns {
+		p.open++
+		return true
+	}
+	var oldest string
+	for addr, list := range p.idle {
+		if len(list) > 0 && (oldest == "" || list[0].used < p.idle[oldest][0].used) {
+			oldest = addr
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	p.idle[oldest][0].Close() // its place goes to the new one
+	p.idle[oldest] = p.idle[oldest][1:]
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// Put gives back a connection whose answer was read to its end.
+func (p *Pool) Put(c *Conn) {
+	if c.R.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		p.Drop(c) // bytes that nobody asked for would be taken for the next answer
+		return
+	}
+	c.used = p.clock.Now()
+	p.mu.Lock()
+	list := append(p.idle[c.addr], c)
+	var surplus *Conn
+	if len(list) > p.lim.IdlePerNode {
+		surplus, list = list[0], list[1:]
+	}
+	p.idle[c.addr] = list
+	p.mu.Unlock()
+	if surplus != nil {
+		p.Drop(surplus)
+	}
+}
+
+// Drop closes a connection.
+func (p *Pool) Drop(c *Conn) {
+	c.Close()
+	p.release()
+}
+
+// Quiet notes that an attempt at a node ended without an answer: its older connections may be dead by now.
+func (p *Pool) Quiet(addr string) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	p.quiet[addr] = now
+	p.mu.Unlock()
+}
+
+// Sweep closes what has been idle for too long. The nodes close such connections by themselves a good while
+// later; a request must not cross that.
+func (p *Pool) Sweep() {
+	now := p.clock.Now()
+	var old []*Conn
+	p.mu.Lock()
+	for addr, list := range p.idle {
+		n := 0
+		for n < len(list) && now-list[n].used > p.lim.NodeIdle {
+			n++
+		}
+		old = append(old, list[:n]...)
+		p.idle[addr] = list[n:]
+		if len(p.idle[addr]) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+	for addr, at := range p.quiet {
+		if now-at > p.lim.NodeIdle {
+			delete(p.quiet, addr)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.Drop(c)
+	}
+}
+
+// Run sweeps until ctx is done.
+func (p *Pool) Run(ctx context.Context) {
+	t := time.NewTicker(clock.Duration(max(p.lim.NodeIdle/8, 1000)))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			p.Sweep()
+		}
+	}
+}
+
+// alive looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
+func alive(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/serve/serve.go
@@ -0,0 +1,115 @@
+// Package serve puts one broker together and runs it until it is told to stop.
+package serve
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/config"
+	"poppyarch/internal/core"
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/front/block"
+	"poppyarch/internal/node"
+	"poppyarch/internal/pool"
+	"poppyarch/policy"
+)
+
+// Listen opens a listening socket.
+type Listen func(ctx context.Context, addr string) (net.Listener, error)
+
+// front is what this package needs of either front.
+type front interface {
+	Serve(net.Listener) error
+	Drain(context.Context) error
+}
+
+// Run serves until ctx is done, then drains: new connections are taken a while longer, idle ones are closed, all
+// that was taken is answered.
+func Run(ctx context.Context, cfg *config.Config, listen Listen, log *slog.Logger) error {
+	lim := &cfg.Limits
+	c := clock.New()
+	facade, err := policy.NewFacade(cfg.Policy, func(text string) { log.Info("module: " + text) })
+	if err != nil {
+		return err
+	}
+	table := core.NewNodes()
+	known, err := cfg.Known.Nodes(cfg.Zones)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	table.Update(known, true)
+	facade.List(discovery.Members(known), true)
+
+	// What the fronts stand on outlives them: it stops when they have drained.
+	back, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var behind sync.WaitGroup
+	defer behind.Wait()
+	defer stop()
+	conns := pool.New(lim, c)
+	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
+	behind.Go(func() { core.Loop(back, facade, c) })
+	behind.Go(func() { conns.Run(back) })
+	behind.Go(func() { watch.Run(back) })
+
+	gate := core.NewGate(lim.MaxOpen)
+	fronts := map[string]front{}
+	if cfg.Listen != "" {
+		b := core.NewBroker(facade, table, gate, node.New(conns, c, lim), c, lim)
+		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy), c, lim, log)
+	}
+	return run(ctx, cfg, fronts, listen, log)
+}
+
+// run serves the fronts and drains them.
+func run(ctx context.Context, cfg *config.Config, fronts map[string]front, listen Listen, log *slog.Logger) error {
+	var listeners []net.Listener
+	var serving sync.WaitGroup
+	failed := make(chan error, len(fronts))
+	defer serving.Wait()
+	closeAll := func() {
+		for _, ln := range listeners {
+			ln.Close()
+		}
+	}
+	defer closeAll()
+	for addr, f := range fronts {
+		ln, err := listen(ctx, addr)
+		if err != nil {
+			return fmt.Errorf("listen: %w", err)
+		}
+		listeners = append(listeners, ln)
+		serving.Go(func() {
+			if err := f.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
+				failed <- err
+			}
+		})
+		log.Info("serving", "addr", ln.Addr().String())
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+	log.Info("draining")
+	total, cancel := context.WithTimeout(context.WithoutCancel(ctx), clock.Duration(cfg.Limits.DrainTotal))
+	defer cancel()
+	var draining sync.WaitGroup
+	// Clients hear of the restart late and keep coming for a while.
+	time.AfterFunc(clock.Duration(cfg.Limits.DrainAccept), closeAll)
+	for addr, f := range fronts {
+		draining.Go(func() {
+			if err := f.Drain(total); err != nil {
+				log.Error("drain: not all was answered", "addr", addr, "err", err)
+			}
+		})
+	}
+	draining.Wait()
+	log.Info("stopped")
+	return nil
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,5 @@
-package wire
+// Package settings reads the settings object that the simulator and the platform both hand to an instance.
+package settings
 
 import (
 	"encoding/json"
@@ -63,8 +64,8 @@
 	"": policy.GroupAll, "all": policy.GroupAll, "zone": policy.GroupZone, "cell": policy.GroupShard,
 }
 
-// Settings turns the JSON of the first message into a Config.
-func Settings(text string, seed uint64) (policy.Config, error) {
+// Parse turns the JSON of the settings into the module's Config.
+func Parse(text string, seed uint64) (policy.Config, error) {
 	var in settings
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
 		return policy.Config{}, fmt.Errorf("settings: %w", err)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"poppyarch/internal/settings"
 	"poppyarch/policy"
 )
 
@@ -155,7 +156,7 @@
 	if h.named < 0 {
 		return errors.New("configure without an instance")
 	}
-	cfg, err := Settings(text, seed)
+	cfg, err := settings.Parse(text, seed)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/policy/facade.go
@@ -0,0 +1,226 @@
+package policy
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Verdict is what the module wants done with a request next.
+type Verdict uint8
+
+// The verdicts.
+const (
+	ToNode  Verdict = iota // make an attempt at Node, for at most Timeout
+	Refused                // tell the client that trying again is harmless, after Hint where it is not 0
+	Failed                 // tell the client that it failed
+	Ended                  // nothing more is owed: it was served, or its caller stopped waiting
+)
+
+// Decision is a verdict with its particulars. Times are microseconds.
+type Decision struct {
+	Verdict Verdict
+	Node    string
+	Timeout int64
+	Hint    int64
+}
+
+// Job is a request as callers of the facade describe it. Due is microseconds on the clock that Tick gets.
+type Job struct {
+	Class, Plan, Shard, Hosts int
+	Volume, Key               string
+	Units                     float64
+	Due                       int64
+}
+
+// Facade is the module in blocking style. Any number of goroutines call Pick, Report and Began; one goroutine
+// calls Tick and with it owns the Scheduler. Callers never see events or actions.
+type Facade struct {
+	sched *Scheduler
+	log   func(string)
+	wake  chan struct{} // something waits for the next Tick
+	watch chan struct{} // the module wants the node list watched
+
+	mu    sync.Mutex
+	next  uint64
+	inbox []Event
+	calls map[uint64]*call
+
+	turn []Event // of the Tick at hand
+	acts []Action
+}
+
+// call is one request between its Pick and its end.
+type call struct {
+	verdict chan Decision // holds one
+	left    bool          // its caller stopped waiting
+	sends   int
+	node    string
+}
+
+// NewFacade starts a module that knows nothing but its settings. It logs by way of log.
+func NewFacade(cfg Config, log func(string)) (*Facade, error) {
+	sched, err := New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return &Facade{
+		sched: sched, log: log, calls: map[uint64]*call{},
+		wake: make(chan struct{}, 1), watch: make(chan struct{}, 1),
+	}, nil
+}
+
+// Wake tells the goroutine that ticks that a Tick is due before the time it was told.
+func (f *Facade) Wake() <-chan struct{} { return f.wake }
+
+// WatchWanted tells discovery that the module wants a (new) watch.
+func (f *Facade) WatchWanted() <-chan struct{} { return f.watch }
+
+// Pick hands a request in and blocks until the module has decided its first step. The id names it in Report.
+func (f *Facade) Pick(ctx context.Context, j Job) (id uint64, d Decision) {
+	c := &call{verdict: make(chan Decision, 1)}
+	f.mu.Lock()
+	f.next++
+	id = f.next
+	f.calls[id] = c
+	f.push(Event{Kind: Arrived, ID: id, Arrival: Arrival{
+		Class: j.Class, Plan: j.Plan, Volume: j.Volume, Key: j.Key, Units: j.Units,
+		Shard: j.Shard, Hosts: j.Hosts, Due: micros(j.Due),
+	}})
+	f.mu.Unlock()
+	return id, f.await(ctx, id, c)
+}
+
+// Report hands in how the last attempt ended and blocks until the module has decided what follows. A caller
+// whose ctx is done owes the report all the same; then, and after Served, nothing follows.
+func (f *Facade) Report(ctx context.Context, id uint64, o Outcome) Decision {
+	f.mu.Lock()
+	c := f.calls[id]
+	if c == nil {
+		f.mu.Unlock()
+		return Decision{Verdict: Ended}
+	}
+	over := o == Served || ctx.Err() != nil
+	if over {
+		c.left = true
+		delete(f.calls, id)
+		if o != Served { // before the outcome, so that the module does not decide on another attempt
+			f.push(Event{Kind: ClientLeft, ID: id})
+		}
+	}
+	f.push(Event{Kind: Answered, ID: id, Attempt: c.sends - 1, Node: c.node, Outcome: o, Final: over})
+	f.mu.Unlock()
+	if over {
+		return Decision{Verdict: Ended}
+	}
+	return f.await(ctx, id, c)
+}
+
+// Began tells that an attempt's answer has begun to reach the client: no further attempt may follow it.
+func (f *Facade) Began(id uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.push(Event{Kind: StreamBegan, ID: id})
+}
+
+// List hands in the node list, or with full false its changed entries. A nil list says that asking failed.
+func (f *Facade) List(members []Member, full bool) {
+	ev := Event{Kind: ListChanged, Members: members}
+	if full {
+		ev.Kind = ListFull
+	} else if members == nil {
+		ev.Kind = ListFailed
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.push(ev)
+}
+
+// Tick is one turn: the module takes in what has come and decides. It returns when the next turn is due at the
+// latest. now is microseconds on a monotonic clock whose zero lies before any node's start.
+func (f *Facade) Tick(now int64) (next int64) {
+	f.mu.Lock()
+	f.turn, f.inbox = f.inbox, f.turn[:0]
+	f.mu.Unlock()
+	// The module keeps one timer running and ignores one that comes early, so it must not fire before its time.
+	if f.sched.started && micros(now) >= f.sched.wakeAt {
+		f.turn = append(f.turn, Event{Kind: TimerFired})
+	}
+	f.acts = f.sched.Step(micros(now), f.turn, f.acts[:0])
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i := range f.acts {
+		f.carryOut(&f.acts[i])
+	}
+	for i := range f.turn {
+		if ev := &f.turn[i]; ev.Kind == ClientLeft {
+			delete(f.calls, ev.ID) // known until now, since this turn might still have sent for it
+		}
+	}
+	clear(f.turn) // or the lists and texts in it stay alive
+	return int64(f.sched.wakeAt / time.Microsecond)
+}
+
+// carryOut hands one action to whom it concerns.
+func (f *Facade) carryOut(a *Action) {
+	switch a.Kind {
+	case Send:
+		c := f.calls[a.ID]
+		c.sends, c.node = c.sends+1, a.Node
+		if c.left {
+			// The caller stopped waiting after this turn took its events in: what the module sent now never
+			// went out, and the module would wait for its outcome forever.
+			f.push(Event{Kind: Answered, ID: a.ID, Attempt: c.sends - 1, Node: a.Node, Outcome: NotSent, Final: true})
+			return
+		}
+		c.verdict <- Decision{Verdict: ToNode, Node: a.Node, Timeout: int64(a.After / time.Microsecond)}
+	case Refuse, Fail:
+		if c := f.calls[a.ID]; !c.left {
+			delete(f.calls, a.ID)
+			d := Decision{Verdict: Failed}
+			if a.Kind == Refuse {
+				d = Decision{Verdict: Refused, Hint: int64(a.After / time.Microsecond)}
+			}
+			c.verdict <- d
+		}
+	case Watch:
+		signal(f.watch)
+	case Log:
+		f.log(a.Text)
+	}
+}
+
+// await blocks until a decision comes or the caller stops waiting.
+func (f *Facade) await(ctx context.Context, id uint64, c *call) Decision {
+	select {
+	case d := <-c.verdict:
+		return d
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	select {
+	case d := <-c.verdict: // decided in the meantime: the caller carries it out or reports that it did not
+		return d
+	default:
+	}
+	c.left = true
+	f.push(Event{Kind: ClientLeft, ID: id})
+	return Decision{Verdict: Ended}
+}
+
+// push queues an event for the next turn. The caller holds mu.
+func (f *Facade) push(ev Event) {
+	f.inbox = append(f.inbox, ev)
+	signal(f.wake)
+}
+
+// signal leaves a note in a channel that holds one.
+func signal(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func micros(t int64) time.Duration { return time.Duration(t) * time.Microsecond }
