Object API over HTTP with ranges and multipart uploads, on the same core and module

A second front (net/http) and backend. The backend does not use net/http's Transport: it resends by itself what it holds to be safe, so a GET could run twice without the module knowing; it speaks HTTP/1.1 on the broker's own pool.

The upload id names the shard that keeps the upload, so a broker needs no state: tests kill a broker process before the final part, and a node during the completion, and count one completion. A completion whose end is unclear is read back by HEAD (the entity tag of the whole follows from the parts' tags) and never sent again. A resent range asks for the missing rest with If-Match; where the object changed in between it starts anew.

Seen on the way: the stand-in answered 416 to 'bytes=9-3', which RFC 9110 wants ignored; the front drops it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -208,7 +208,7 @@
 		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, IdlePerNode: 16,
 		ListWait: 10 * s, ListGrace: 2 * s, MaxList: 4 << 20, MaxListRows: 10000,
 		MaxObject: 16 << 20, MaxHead: 16 << 10, ObjectBuffer: 64 << 10, MaxParts: 10000, ObjectIdle: 60 * s,
-		ObjectStall: 10 * s, MaxCompletion: 1 << 20,
+		ObjectStall: 10 * s, MaxCompletion: 1 << 20, ReadBack: 1 * s, ReadBackPause: 100 * ms,
 	}
 	if v := ex.Limits.Connect; v > 0 {
 		l.Connect = v / 1000
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"sync/atomic"
+	"time"
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/limits"
@@ -69,7 +70,7 @@
 // Answer is the one final answer of a request.
 type Answer[V any] struct {
 	Kind    Kind
-	Value   V     // of a Success
+	Value   V     // of a Success, or of a Failure whose answer had begun
 	Hint    int64 // of a Refusal: come again after so many microseconds; 0: no advice
 	Overdue bool  // of a Failure: the client's time ran out
 }
@@ -98,8 +99,10 @@
 	}
 	defer b.open.Leave()
 	last := r.Due - b.lim.AnswerMargin
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(last-b.clock.Now()))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	due := time.AfterFunc(clock.Duration(last-b.clock.Now()), cancel)
+	defer due.Stop()
 	id, d := b.facade.Pick(ctx, r.Job)
 	for number := 0; d.Verdict == policy.ToNode; number++ {
 		node, _ := b.nodes.Get(d.Node)
@@ -107,11 +110,15 @@
 			Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
 			Deadline: min(b.clock.Now()+d.Timeout, last),
 			Open:     func() bool { return b.nodes.Takes(node) },
-			Begin:    func() { b.facade.Began(id) },
+			Begin: func() {
+				due.Stop() // an answer that has begun has no deadline
+				b.facade.Began(id)
+			},
 		})
 		d = b.facade.Report(ctx, id, out)
-		if out == Served {
-			return Answer[V]{Kind: Success, Value: v}
+		if out == Served || d.Verdict == policy.Ended {
+			// One that began and broke has a value as well: it tells the front that nothing more can be said.
+			return Answer[V]{Kind: kind(out), Value: v, Overdue: out != Served && ctx.Err() != nil}
 		}
 	}
 	if d.Verdict == policy.Refused {
@@ -120,6 +127,13 @@
 	return Answer[V]{Kind: Failure, Overdue: d.Verdict == policy.Ended}
 }
 
+func kind(o Outcome) Kind {
+	if o == Served {
+		return Success
+	}
+	return Failure
+}
+
 // Gate bounds the requests that a process has open over all its fronts.
 type Gate struct {
 	open atomic.Int64
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -39,6 +39,7 @@
 	clock  *clock.Clock
 	lim    *limits.Limits
 	log    *slog.Logger
+	most   int // connections
 
 	held     atomic.Int64 // bytes of commands not answered
 	draining atomic.Bool
@@ -49,9 +50,9 @@
 	drained  chan struct{} // closed when Drain is over
 }
 
-// New returns a front.
-func New(b Broker, names *Names, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Front {
-	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, conns: map[*client]struct{}{},
+// New returns a front for at most conns clients at once.
+func New(b Broker, names *Names, conns int, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Front {
+	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, conns: map[*client]struct{}{},
 		gone: make(chan struct{}, 1), drained: make(chan struct{})}
 }
 
@@ -128,7 +129,7 @@
 		f.mu.Lock()
 		n := len(f.conns)
 		var idle *client
-		if n >= f.lim.ClientConns {
+		if n >= f.most {
 			for c := range f.conns {
 				if c.owed.Load() == 0 && (idle == nil || c.since.Load() < idle.since.Load()) {
 					idle = c
@@ -136,7 +137,7 @@
 			}
 		}
 		f.mu.Unlock()
-		if n < f.lim.ClientConns {
+		if n < f.most {
 			return
 		}
 		if idle != nil {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -36,11 +36,13 @@
 	MaxListRows int   `json:"max_list_rows"` // entries of one answer
 
 	// The object front.
-	MaxObject     int64 `json:"max_object"`     // body of one PUT or part
-	MaxHead       int   `json:"max_head"`       // request line and header
-	ObjectBuffer  int   `json:"object_buffer"`  // of an answer, held back before its first byte goes to the client
-	MaxParts      int   `json:"max_parts"`      // parts of one upload
-	ObjectIdle    int64 `json:"object_idle"`    // an idle HTTP client connection is closed after this
-	ObjectStall   int64 `json:"object_stall"`   // a body that stands still for so long is given up
-	MaxCompletion int64 `json:"max_completion"` // body of a complete call
+	MaxObject     int64 `json:"max_object"`      // body of one PUT or part
+	MaxHead       int   `json:"max_head"`        // request line and header
+	ObjectBuffer  int   `json:"object_buffer"`   // of an answer, held back before its first byte goes to the client
+	MaxParts      int   `json:"max_parts"`       // parts of one upload
+	ObjectIdle    int64 `json:"object_idle"`     // an idle HTTP client connection is closed after this
+	ObjectStall   int64 `json:"object_stall"`    // a body that stands still for so long is given up
+	ReadBack      int64 `json:"read_back"`       // of a completion's time, kept to find out how it ended
+	ReadBackPause int64 `json:"read_back_pause"` // between two looks
+	MaxCompletion int64 `json:"max_completion"`  // body of a complete call
 }
--- /dev/null
+++ b/internal/objectstore/client.go
@@ -0,0 +1,225 @@
+package objectstore
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
+	"poppyarch/internal/pool"
+)
+
+// errTooLong says that an answer that must be held whole is over its bound.
+var errTooLong = errors.New("objectstore: answer too long")
+
+// Client makes attempts at object servers.
+type Client struct {
+	pool  *pool.Pool
+	clock *clock.Clock
+	lim   *limits.Limits
+}
+
+// New returns a client on a pool.
+func New(p *pool.Pool, c *clock.Clock, lim *limits.Limits) *Client {
+	return &Client{pool: p, clock: c, lim: lim}
+}
+
+// Do makes one attempt: one exchange, written once.
+func (c *Client) Do(ctx context.Context, a core.Attempt[*Call]) (*Result, core.Outcome) {
+	conn, out := c.connect(ctx, a)
+	if conn == nil {
+		return nil, out
+	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	method, target, h, body := a.Work.request()
+	msg := encode(a.Node.Objects, method, target, h, body)
+	if n, err := conn.Write(msg); err != nil || n < len(msg) {
+		c.pool.Drop(conn)
+		c.pool.Quiet(a.Node.Objects)
+		return nil, core.NoConnection // its last byte was never written
+	}
+	res, keep, err := c.read(ctx, conn, a)
+	if err == nil && keep && stop() {
+		c.pool.Put(conn)
+	} else {
+		c.pool.Drop(conn) // also gives the attempt up at the node
+	}
+	if err == nil {
+		return res, verdict(res, a.Unsafe)
+	}
+	if ctx.Err() != nil {
+		return res, core.Cancelled
+	}
+	c.pool.Quiet(a.Node.Objects)
+	var ne net.Error
+	switch {
+	case errors.Is(err, errVersion), errors.Is(err, errTooLong):
+		return res, core.NodeError
+	case errors.As(err, &ne) && ne.Timeout():
+		return res, core.TimedOut
+	}
+	return res, core.ConnectionLost
+}
+
+// connect lends a connection whose deadline is the attempt's, or says why there is none. Nothing was written.
+func (c *Client) connect(ctx context.Context, a core.Attempt[*Call]) (*pool.Conn, core.Outcome) {
+	left := a.Deadline - c.clock.Now()
+	if ctx.Err() != nil || left <= 0 {
+		return nil, core.NotSent
+	}
+	dctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
+	defer cancel()
+	conn, err := c.pool.Get(dctx, a.Node.Objects, a.Unsafe)
+	if err != nil {
+		if errors.Is(err, pool.ErrFull) || ctx.Err() != nil {
+			return nil, core.NotSent
+		}
+		return nil, core.NoConnection
+	}
+	if left = a.Deadline - c.clock.Now(); !a.Open() || left <= 0 {
+		c.pool.Put(conn)
+		return nil, core.NotSent
+	}
+	conn.SetDeadline(time.Now().Add(clock.Duration(left)))
+	return conn, 0
+}
+
+// errVersion says that a resent read met another version of the object.
+var errVersion = errors.New("objectstore: the object changed between two attempts")
+
+// read takes in the answer. An error with a Result says that it broke after it had begun to reach the client.
+func (c *Client) read(ctx context.Context, conn *pool.Conn, a core.Attempt[*Call]) (*Result, bool, error) {
+	call := a.Work
+	resp, err := head(conn, call.Method, int64(c.lim.MaxHead))
+	if err != nil {
+		return nil, false, err
+	}
+	defer resp.Body.Close()
+	if call.kept != nil {
+		if !call.kept.continues(resp) {
+			call.kept = nil // from here on the request starts anew, with nothing of the old version
+			return nil, false, errVersion
+		}
+	} else {
+		call.begin(resp)
+	}
+	keep := !resp.Close && resp.ContentLength >= 0
+	res := &Result{Status: resp.StatusCode, Header: resp.Header}
+	var buf []byte
+	if k := call.kept; k != nil {
+		res.Status, res.Header, buf = k.status, k.header, k.body
+	}
+	buf, whole, err := fill(resp.Body, buf, c.lim.ObjectBuffer)
+	if call.kept != nil {
+		call.kept.body = buf
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	if whole {
+		res.Body = buf
+		return res, keep, nil
+	}
+	if call.Stream == nil || resp.StatusCode >= 300 {
+		// Answers other than objects are small; one that is not is no answer.
+		if buf, whole, err = fill(resp.Body, buf, int(c.lim.MaxCompletion)); err == nil && !whole {
+			err = errTooLong
+		}
+		res.Body = buf
+		return res, keep, err
+	}
+	a.Begin()
+	res.Streamed = true
+	err = c.stream(ctx, conn, call.Stream(res), buf, resp.Body)
+	res.Broken = err != nil
+	return res, keep, err
+}
+
+// head reads status and header, past interim answers.
+func head(conn *pool.Conn, method string, most int64) (*http.Response, error) {
+	conn.Allow(most)
+	defer conn.Allow(-1)
+	for {
+		resp, err := http.ReadResponse(conn.R, &http.Request{Method: method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= 200 {
+			return resp, nil
+		}
+	}
+}
+
+// fill reads on until the body ends or buf holds most bytes.
+func fill(r io.Reader, buf []byte, most int) (_ []byte, whole bool, err error) {
+	chunk := make([]byte, 16<<10)
+	for len(buf) < most {
+		n, err := r.Read(chunk[:min(len(chunk), most-len(buf))])
+		buf = append(buf, chunk[:n]...)
+		if err == io.EOF {
+			return buf, true, nil
+		}
+		if err != nil {
+			return buf, false, err
+		}
+	}
+	// The bound may be met exactly at the end.
+	n, err := r.Read(chunk[:1])
+	if n == 0 && err == io.EOF {
+		return buf, true, nil
+	}
+	buf = append(buf, chunk[:n]...)
+	if err != nil && err != io.EOF {
+		return buf, false, err
+	}
+	return buf, err == io.EOF, nil
+}
+
+// stream passes the rest on. The client's time no longer runs, but a body that stands still is given up.
+func (c *Client) stream(ctx context.Context, conn *pool.Conn, w io.Writer, buf []byte,
+	body io.Reader) error {
+	if _, err := w.Write(buf); err != nil {
+		return err
+	}
+	chunk := make([]byte, 32<<10)
+	for {
+		conn.SetDeadline(time.Now().Add(clock.Duration(c.lim.ObjectStall)))
+		if ctx.Err() != nil { // its own deadline may just have been overwritten
+			return ctx.Err()
+		}
+		n, err := body.Read(chunk)
+		if n > 0 {
+			if _, err := w.Write(chunk[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// verdict names the outcome of a whole answer. What the server decided, good or bad, is the answer; what it
+// could not do is not. A server that is busy says so before it runs anything, but only a request that may run
+// twice relies on that.
+func verdict(r *Result, unsafe bool) core.Outcome {
+	switch {
+	case r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests:
+		if unsafe {
+			return core.NodeError
+		}
+		return core.TurnedAway
+	case r.Status >= 500 && r.Status != http.StatusNotImplemented:
+		return core.NodeError
+	}
+	return core.Served
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -22,13 +22,39 @@
 type Conn struct {
 	net.Conn
 	R    *bufio.Reader
+	in   *bounded
 	addr string
 	used int64 // when its last answer came
 }
 
+// Allow bounds how many more bytes are read from the peer; -1 lifts the bound.
+func (c *Conn) Allow(n int64) { c.in.left = n }
+
+// errBound says that a peer sent more than was allowed.
+var errBound = errors.New("pool: peer sent too much")
+
+// bounded reads from a connection within a bound.
+type bounded struct {
+	net.Conn
+	left int64 // negative: no bound
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left < 0 {
+		return b.Conn.Read(p)
+	}
+	if b.left == 0 {
+		return 0, errBound
+	}
+	n, err := b.Conn.Read(p[:min(int64(len(p)), b.left)])
+	b.left -= int64(n)
+	return n, err
+}
+
 // Pool holds the idle connections of all nodes.
 type Pool struct {
 	lim   *limits.Limits
+	max   int // connections
 	clock *clock.Clock
 	dial  func(ctx context.Context, network, addr string) (net.Conn, error)
 
@@ -38,10 +64,10 @@
 	open  int                // idle, lent and dialling
 }
 
-// New returns an empty pool.
-func New(lim *limits.Limits, c *clock.Clock) *Pool {
+// New returns an empty pool for at most max connections.
+func New(lim *limits.Limits, max int, c *clock.Clock) *Pool {
 	d := &net.Dialer{KeepAlive: -1} // a silent machine answers no keep-alive either; attempts have their own time
-	return &Pool{lim: lim, clock: c, dial: d.DialContext, idle: map[string][]*Conn{}, quiet: map[string]int64{}}
+	return &Pool{lim: lim, max: max, clock: c, dial: d.DialContext, idle: map[string][]*Conn{}, quiet: map[string]int64{}}
 }
 
 // Get lends a connection: an idle one that still stands, or else a new one. fresh asks for one that is surely
@@ -68,7 +94,8 @@
 		p.release()
 		return nil, err
 	}
-	return &Conn{Conn: conn, R: bufio.NewReaderSize(conn, 4096), addr: addr}, nil
+	in := &bounded{Conn: conn, left: -1}
+	return &Conn{Conn: conn, R: bufio.NewReaderSize(in, 4096), in: in, addr: addr}, nil
 }
 
 // take removes an idle connection, the last used first.
@@ -95,7 +122,7 @@
 func (p *Pool) reserve() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < p.lim.NodeConns {
+	if p.open < p.max {
 		p.open++
 		return true
 	}
--- /dev/null
+++ b/internal/serve/rig_test.go
@@ -0,0 +1,244 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"poppyarch/internal/config"
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/standin"
+)
+
+// patience bounds every wait for what must come; a run that meets it has failed. No verdict hangs on less.
+const patience = 30 * time.Second
+
+// TestMain lets the test binary be a broker process of its own, which a test can kill.
+func TestMain(m *testing.M) {
+	if os.Getenv("POPPYARCH_TEST_SERVE") != "" {
+		cfg, err := config.Load(os.Getenv)
+		if err == nil {
+			err = Run(context.Background(), cfg, listenTCP, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		}
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	os.Exit(m.Run())
+}
+
+func listenTCP(_ context.Context, addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// settings for stand-ins: long aims, so that no slow machine changes a verdict.
+const testSettings = `{"balancers":1,"discovery":"ask","zones":["room"],
+ "classes":[
+  {"name":"object-read","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"retryable"},
+  {"name":"object-write","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"retryable"},
+  {"name":"object-complete","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"fragile"}],
+ "policies":[{"name":"basis","shares":1,"value_factor":1,"usual_rate":1000,"floor_rate":1000}],
+ "contract":{"ask_within_ns":10000000000,"cold_from":0.5,"tip_after_ns":50000000,"warm_after_ns":100000000},
+ "limits":{"send_cap":3,"connect_timeout_ns":2000000000,"keepalive_ns":30000000000,"retry_after":true,
+  "max_retry_after_ns":2000000000},
+ "specifics":{"mean_units":1,"max_units":8,"n_shards":2,"cold_bears":1000,"fair_worth":0.3}}`
+
+// rig is two object servers and a discovery; brokers come and go.
+type rig struct {
+	t      *testing.T
+	stores []*standin.Objects
+	nodes  []*standin.Node
+	disc   *standin.Discovery
+	discN  *standin.Node
+	http   *http.Client
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, disc: standin.NewDiscovery()}
+	for range 2 {
+		s := standin.NewObjects()
+		n, err := standin.Start(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Kill)
+		r.stores, r.nodes = append(r.stores, s), append(r.nodes, n)
+	}
+	var err error
+	if r.discN, err = standin.Start(r.disc); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.discN.Kill)
+	r.list(0, 0)
+	tr := &http.Transport{}
+	t.Cleanup(tr.CloseIdleConnections)
+	r.http = &http.Client{Transport: tr, Timeout: patience}
+	return r
+}
+
+// list tells discovery of both nodes; boot is when each last started.
+func (r *rig) list(boot ...int64) {
+	for i, b := range boot {
+		r.disc.Set(discovery.Target{UID: fmt.Sprint("s-", i), Endpoint: r.nodes[i].Addr(), AZ: "room", PodGroup: i,
+			State: "up", BootMS: b})
+	}
+}
+
+func (r *rig) configText(extra string) []byte {
+	known, err := json.Marshal(r.disc.List(0))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return fmt.Appendf(nil, `{"name":"t1","discovery":%q,"seed":"1f","known":%s,"settings":%s,
+	 "limits":{"cores":1,"memory_mb":192,"sockets":1024},
+	 "object":{"listen":"127.0.0.1:0","read_class":"object-read","write_class":"object-write",
+	  "complete_class":"object-complete","default_plan":"basis"}%s}`, r.discN.Addr(), known, testSettings, extra)
+}
+
+// broker runs one in this process and returns the base of its addresses and how to stop it.
+func (r *rig) broker(extra string) (base string, stop func()) {
+	r.t.Helper()
+	cfg, err := config.Parse(r.configText(extra), func(string) string { return "" })
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	addr, done := make(chan string, 2), make(chan error, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		done <- Run(ctx, cfg, func(_ context.Context, a string) (net.Listener, error) {
+			ln, err := net.Listen("tcp", a)
+			if err == nil {
+				addr <- ln.Addr().String()
+			}
+			return ln, err
+		}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	}()
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		r.http.CloseIdleConnections()
+		cancel()
+		if err := <-done; err != nil {
+			r.t.Error(err)
+		}
+	}
+	r.t.Cleanup(stop)
+	select {
+	case a := <-addr:
+		return "http://" + a, stop
+	case err := <-done:
+		r.t.Fatal(err)
+		return "", nil
+	}
+}
+
+// process runs a broker as a process of its own and returns how to kill it.
+func (r *rig) process() (base string, kill func()) {
+	r.t.Helper()
+	path := filepath.Join(r.t.TempDir(), "config.json")
+	if err := os.WriteFile(path, r.configText(""), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), "POPPYARCH_TEST_SERVE=1", "LB_CONFIG="+path)
+	out, err := cmd.StderrPipe()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		r.t.Fatal(err)
+	}
+	killed := false
+	kill = func() {
+		if !killed {
+			killed = true
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}
+	r.t.Cleanup(kill)
+	lines := bufio.NewScanner(out)
+	for lines.Scan() {
+		if m := regexp.MustCompile(`msg=serving addr=(\S+)`).FindStringSubmatch(lines.Text()); m != nil {
+			go io.Copy(io.Discard, out)
+			return "http://" + m[1], kill
+		}
+	}
+	r.t.Fatal("the broker process did not start")
+	return "", nil
+}
+
+// answer is what a client got.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error // of reading the body
+}
+
+// do sends one request. Every one has exactly one final answer: a second would show on the connection.
+func (r *rig) do(method, url string, body []byte, header ...string) answer {
+	r.t.Helper()
+	req, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		r.t.Fatalf("%s %s: %v", method, url, err)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, resp.Header, b, err}
+}
+
+// home is the store that keeps an object, found by storing it.
+func (r *rig) home(base, path string, body []byte) int {
+	r.t.Helper()
+	if a := r.do("PUT", base+path, body); a.status != 200 {
+		r.t.Fatalf("PUT %s: %d %s", path, a.status, a.body)
+	}
+	for i, s := range r.stores {
+		if s.Get(path) != nil {
+			return i
+		}
+	}
+	r.t.Fatalf("no store has %s", path)
+	return 0
+}
+
+// count is how many requests of a store begin so.
+func count(s *standin.Objects, prefix string) (n int) {
+	for _, line := range s.Requests() {
+		if strings.HasPrefix(line, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
+// noise is n bytes that differ from place to place.
+func noise(n int, salt byte) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i>>8) ^ byte(i*7) ^ salt
+	}
+	return b
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -15,7 +15,9 @@
 	"poppyarch/internal/core"
 	"poppyarch/internal/discovery"
 	"poppyarch/internal/front/block"
+	"poppyarch/internal/front/object"
 	"poppyarch/internal/node"
+	"poppyarch/internal/objectstore"
 	"poppyarch/internal/pool"
 	"poppyarch/policy"
 )
@@ -51,17 +53,28 @@
 	var behind sync.WaitGroup
 	defer behind.Wait()
 	defer stop()
-	conns := pool.New(lim, c)
+	// With both fronts on, each has its half of the descriptors, so that neither starves the other.
+	clients, nodes := lim.ClientConns, lim.NodeConns
+	if cfg.Listen != "" && cfg.Object != nil {
+		clients, nodes = clients/2, nodes/2
+	}
 	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
 	behind.Go(func() { core.Loop(back, facade, c) })
-	behind.Go(func() { conns.Run(back) })
 	behind.Go(func() { watch.Run(back) })
 
 	gate := core.NewGate(lim.MaxOpen)
 	fronts := map[string]front{}
 	if cfg.Listen != "" {
+		conns := pool.New(lim, nodes, c)
+		behind.Go(func() { conns.Run(back) })
 		b := core.NewBroker(facade, table, gate, node.New(conns, c, lim), c, lim)
-		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy), c, lim, log)
+		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy), clients, c, lim, log)
+	}
+	if cfg.Object != nil {
+		conns := pool.New(lim, nodes, c) // a pool of its own: its connections speak HTTP
+		behind.Go(func() { conns.Run(back) })
+		b := core.NewBroker(facade, table, gate, objectstore.New(conns, c, lim), c, lim)
+		fronts[cfg.Object.Listen] = object.New(b, cfg, clients, c, log)
 	}
 	return run(ctx, cfg, fronts, listen, log)
 }
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,114 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"poppyarch/internal/discovery"
+)
+
+// Discovery serves a node list, whole or as a watch.
+type Discovery struct {
+	mu      sync.Mutex
+	rev     int64
+	order   []string
+	byUID   map[string]entry
+	changed chan struct{}
+	calls   []time.Time
+	down    bool
+}
+
+type entry struct {
+	discovery.Target
+	rev int64
+}
+
+// NewDiscovery returns an empty list at version 1.
+func NewDiscovery() *Discovery {
+	return &Discovery{rev: 1, byUID: map[string]entry{}, changed: make(chan struct{})}
+}
+
+// Set adds or changes entries.
+func (d *Discovery) Set(targets ...discovery.Target) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rev++
+	for _, t := range targets {
+		if _, ok := d.byUID[t.UID]; !ok {
+			d.order = append(d.order, t.UID)
+		}
+		d.byUID[t.UID] = entry{t, d.rev}
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// SetDown has every call end in 503, also those that wait.
+func (d *Discovery) SetDown(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Calls tells when calls came.
+func (d *Discovery) Calls() []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append([]time.Time(nil), d.calls...)
+}
+
+// List is the list as it stands: what is newer than after, or all.
+func (d *Discovery) List(after int64) discovery.List {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := discovery.List{Rev: d.rev, All: after <= 0, Targets: []discovery.Target{}}
+	for _, uid := range d.order {
+		if e := d.byUID[uid]; e.rev > after && (!l.All || e.State != "removed") {
+			l.Targets = append(l.Targets, e.Target)
+		}
+	}
+	return l
+}
+
+// ServeHTTP answers GET /catalog/members.
+func (d *Discovery) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	d.calls = append(d.calls, time.Now())
+	d.mu.Unlock()
+	if r.Method != http.MethodGet || r.URL.Path != "/catalog/members" {
+		http.NotFound(w, r)
+		return
+	}
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
+	timeout := time.After(time.Duration(min(max(wait, 0), 60000)) * time.Millisecond)
+	for waiting := after > 0; waiting; {
+		d.mu.Lock()
+		news, changed := d.rev > after || d.down, d.changed
+		d.mu.Unlock()
+		if news {
+			break
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+	d.mu.Lock()
+	down := d.down
+	d.mu.Unlock()
+	if down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(d.List(after))
+}
--- a/policy/facade.go
+++ b/policy/facade.go
@@ -54,6 +54,7 @@
 type call struct {
 	verdict chan Decision // holds one
 	left    bool          // its caller stopped waiting
+	begun   bool          // its answer has begun to reach the client
 	sends   int
 	node    string
 }
@@ -100,11 +101,11 @@
 		f.mu.Unlock()
 		return Decision{Verdict: Ended}
 	}
-	over := o == Served || ctx.Err() != nil
+	over := o == Served || c.begun || ctx.Err() != nil
 	if over {
 		c.left = true
 		delete(f.calls, id)
-		if o != Served { // before the outcome, so that the module does not decide on another attempt
+		if o != Served && !c.begun { // before the outcome, so that the module does not decide on another attempt
 			f.push(Event{Kind: ClientLeft, ID: id})
 		}
 	}
@@ -120,7 +121,10 @@
 func (f *Facade) Began(id uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.push(Event{Kind: StreamBegan, ID: id})
+	if c := f.calls[id]; c != nil {
+		c.begun = true
+		f.push(Event{Kind: StreamBegan, ID: id})
+	}
 }
 
 // List hands in the node list, or with full false its changed entries. A nil list says that asking failed.
