--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,176 @@
+package core
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/limits"
+	"poppyarch/policy"
+)
+
+// backend answers attempts from a list, each after a while; it counts what it is asked for.
+type backend struct {
+	mu       sync.Mutex
+	outcomes []Outcome
+	takes    time.Duration
+	calls    int
+	last     Attempt[string]
+}
+
+func (b *backend) Do(ctx context.Context, a Attempt[string]) (string, Outcome) {
+	b.mu.Lock()
+	b.last = a
+	b.calls++
+	o := b.outcomes[min(b.calls, len(b.outcomes))-1]
+	b.mu.Unlock()
+	select {
+	case <-time.After(b.takes):
+		return "value of " + a.Work, o
+	case <-ctx.Done():
+		return "", Cancelled
+	}
+}
+
+// start runs a broker over the real module and one node.
+func start(ctx context.Context, t *testing.T, b *backend, repeat policy.Repeat, node string) (*Broker[string, string],
+	*clock.Clock, *Nodes) {
+	t.Helper()
+	f, err := policy.NewFacade(policy.Config{Hosts: 1, MaxAttempts: 3, MeanUnits: 1, MaxUnits: 8,
+		Classes: []policy.Class{{Name: "c", Aim: 4 * time.Second, Deadline: 4 * time.Second, Worth: 1, Repeat: repeat}},
+		Plans:   []policy.Plan{{Name: "p", Weight: 1, Price: 1, Rate: 100, Reserve: 100}}}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, n := clock.New(), NewNodes()
+	n.Update([]Node{{ID: node, Addr: "x"}}, true)
+	f.List([]policy.Member{{Node: node, Shard: 0}}, true)
+	go Loop(ctx, f, c)
+	lim := &limits.Limits{AnswerMargin: 5000}
+	return NewBroker[string, string](f, n, NewGate(2), b, c, lim), c, n
+}
+
+func request(c *clock.Clock) Request[string] {
+	return Request[string]{Work: "w", Job: policy.Job{Volume: "v", Key: "k", Units: 1, Due: c.Now() + 4_000_000}}
+}
+
+func TestLifeOfARequest(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		repeat   policy.Repeat
+		outcomes []Outcome
+		kind     Kind
+		calls    int
+	}{
+		{"served", policy.Unsafe, []Outcome{Served}, Success, 1},
+		{"unsafe and turned away goes again", policy.Unsafe, []Outcome{TurnedAway, Served}, Success, 2},
+		{"unsafe and never connected goes again", policy.Unsafe, []Outcome{NoConnection, Served}, Success, 2},
+		{"unsafe and lost fails", policy.Unsafe, []Outcome{ConnectionLost, Served}, Failure, 1},
+		{"unsafe and in error fails", policy.Unsafe, []Outcome{NodeError, Served}, Failure, 1},
+		{"unsafe, turned away, then lost fails", policy.Unsafe, []Outcome{TurnedAway, ConnectionLost, Served}, Failure, 2},
+		{"unsafe and always turned away is refused", policy.Unsafe, []Outcome{TurnedAway}, Refusal, 3},
+		{"safe and lost goes again", policy.Safe, []Outcome{ConnectionLost, Served}, Success, 2},
+		{"safe and always lost is refused", policy.Safe, []Outcome{ConnectionLost}, Refusal, 3},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				be := &backend{outcomes: x.outcomes, takes: time.Millisecond}
+				b, c, _ := start(ctx, t, be, x.repeat, "a")
+				a := b.Do(ctx, request(c))
+				if a.Kind != x.kind || be.calls != x.calls {
+					t.Fatalf("kind %d after %d attempts, want %d after %d", a.Kind, be.calls, x.kind, x.calls)
+				}
+				if a.Kind == Success && a.Value != "value of w" {
+					t.Errorf("value %q", a.Value)
+				}
+				if n := b.open.Open(); n != 0 {
+					t.Errorf("%d still open", n)
+				}
+			})
+		})
+	}
+}
+
+// A backend that never ends its attempt does not hold the answer past the client's time.
+func TestAnswerComesBeforeTheClientGivesUp(t *testing.T) {
+	for _, repeat := range []policy.Repeat{policy.Safe, policy.Unsafe} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			b, c, _ := start(ctx, t, &backend{outcomes: []Outcome{Served}, takes: time.Hour}, repeat, "a")
+			r := request(c)
+			a := b.Do(ctx, r)
+			if a.Kind == Success || c.Now() > r.Due {
+				t.Errorf("kind %d, %d us after it was due", a.Kind, c.Now()-r.Due)
+			}
+			if a.Kind == Refusal && repeat == policy.Unsafe {
+				t.Error("a refusal of what may have run")
+			}
+		})
+	}
+}
+
+// An attempt's time is what is left of the client's, and its node is asked about once more by Open.
+func TestAttemptCarriesWhatIsLeftAndTheDrainState(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		be := &backend{outcomes: []Outcome{TurnedAway, Served}, takes: 500 * time.Millisecond}
+		b, c, n := start(ctx, t, be, policy.Safe, "a")
+		r := request(c)
+		if a := b.Do(ctx, r); a.Kind != Success {
+			t.Fatalf("kind %d", a.Kind)
+		}
+		if be.last.Deadline > r.Due || be.last.Deadline < c.Now() {
+			t.Errorf("the attempt ends at %d, its client at %d", be.last.Deadline, r.Due)
+		}
+		if !be.last.Open() {
+			t.Error("the node takes work, Open says no")
+		}
+		n.Update([]Node{{ID: "a", Addr: "x", State: policy.Draining}}, false)
+		if be.last.Open() {
+			t.Error("the node drains, Open says it takes work")
+		}
+	})
+}
+
+// A client that leaves ends its attempt at once.
+func TestClientLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		b, c, _ := start(ctx, t, &backend{outcomes: []Outcome{Served}, takes: time.Hour}, policy.Safe, "a")
+		client, leave := context.WithCancelCause(ctx)
+		began := c.Now()
+		time.AfterFunc(time.Second, func() { leave(ErrClientLeft) })
+		if a := b.Do(client, request(c)); a.Kind == Success || c.Now()-began != 1_000_000 {
+			t.Errorf("kind %d after %d us", a.Kind, c.Now()-began)
+		}
+	})
+}
+
+// Beyond the gate nothing reaches the module; the answer is a refusal, since nothing ran.
+func TestGate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		be := &backend{outcomes: []Outcome{Served}, takes: time.Second}
+		b, c, _ := start(ctx, t, be, policy.Safe, "a")
+		kinds := make(chan Kind, 3)
+		for range 3 {
+			go func() { kinds <- b.Do(ctx, request(c)).Kind }()
+		}
+		count := map[Kind]int{}
+		for range 3 {
+			count[<-kinds]++
+		}
+		if count[Success] != 2 || count[Refusal] != 1 {
+			t.Errorf("%v", count)
+		}
+	})
+}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,269 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
+	"poppyarch/internal/pool"
+)
+
+const patience = 30 * time.Second
+
+var lim = &limits.Limits{Connect: 5_000_000, NodeIdle: 3_600_000_000, NodeFresh: 3_600_000_000, IdlePerNode: 4,
+	NodeConns: 8, MaxValue: 1 << 16}
+
+// server accepts connections and hands each to serve with its number.
+func server(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// readCommand reads one whole command.
+func readCommand(r *bufio.Reader) (string, error) {
+	line, err := r.ReadString('\n')
+	if err != nil {
+		return "", err
+	}
+	var all strings.Builder
+	for n := int(line[1] - '0'); n > 0; n-- {
+		if line, err = r.ReadString('\n'); err != nil {
+			return "", err
+		}
+		size := 0
+		for _, d := range strings.TrimSpace(line[1:]) {
+			size = 10*size + int(d-'0')
+		}
+		b := make([]byte, size+2)
+		if _, err := io.ReadFull(r, b); err != nil {
+			return "", err
+		}
+		all.Write(b[:size])
+		all.WriteByte(' ')
+	}
+	return all.String(), nil
+}
+
+func command() *Command {
+	return &Command{Name: []byte("BLK.WRITE"), Piece: []byte("7f3a9c21e0b4d655"), ID: []byte("id1"), HasBody: true,
+		Body: []byte("a\r\nb"), Params: []Param{{"c", "w"}, {"d", "480"}, {"k", "z"}, {"volume", "00"}}}
+}
+
+type rig struct {
+	pool   *pool.Pool
+	client *Client
+	clock  *clock.Clock
+}
+
+func newRig() *rig {
+	c := clock.New()
+	p := pool.New(lim, lim.NodeConns, c)
+	return &rig{p, New(p, c, lim), c}
+}
+
+func (r *rig) attempt(addr string, wait time.Duration) core.Attempt[*Command] {
+	return core.Attempt[*Command]{Node: core.Node{ID: "a", Addr: addr}, Work: command(), Unsafe: true,
+		Deadline: r.clock.Now() + wait.Microseconds(), Open: func() bool { return true }}
+}
+
+func TestOutcomes(t *testing.T) {
+	for _, x := range []struct {
+		name, reply string
+		value       string
+		want        core.Outcome
+	}{
+		{"served", "*3\r\n$4\r\nv\r\nw\r\n$-1\r\n$-1\r\n", "v\r\nw", core.Served},
+		{"served with figures", "*3\r\n$1\r\nv\r\n*2\r\n:3\r\n$2\r\nxx\r\n$5\r\na:1.5\r\n", "v", core.Served},
+		{"served empty", "*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", "", core.Served},
+		{"failed", "-ERR failed\r\n", "", core.NodeError},
+		{"turned away", "-BUSY\r\n", "", core.TurnedAway},
+		{"no value", "*1\r\n$-1\r\n", "", core.NodeError},
+		{"odd kind", "+OK\r\n", "", core.NodeError},
+		{"lost", "", "", core.ConnectionLost},
+		{"lost in the middle", "*3\r\n$4\r\nv", "", core.ConnectionLost},
+		{"garbage", "hello\r\n", "", core.ConnectionLost},
+		{"too long", "*3\r\n$9999999\r\n", "", core.ConnectionLost},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			got := make(chan string, 1)
+			addr := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				cmd, _ := readCommand(r)
+				got <- cmd
+				io.WriteString(c, x.reply)
+			})
+			r := newRig()
+			v, out := r.client.Do(t.Context(), r.attempt(addr, patience))
+			if out != x.want || string(v) != x.value {
+				t.Errorf("%d %q, want %d %q", out, v, x.want, x.value)
+			}
+			// All passes on unchanged and in order but d, which is what is left.
+			if cmd := <-got; !strings.HasPrefix(cmd, "BLK.WRITE 7f3a9c21e0b4d655 id1 c=w,d=") ||
+				!strings.HasSuffix(cmd, ",k=z,volume=00 a\r\nb ") || strings.Contains(cmd, "d=480,") {
+				t.Errorf("the node got %q", cmd)
+			}
+		})
+	}
+}
+
+// A connection that breaks before the last byte is written proves that nothing ran.
+func TestBreakBeforeTheLastByte(t *testing.T) {
+	addr := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	r := newRig()
+	a := r.attempt(addr, patience)
+	a.Work.Body = make([]byte, 64<<20) // more than any socket buffer takes
+	if _, out := r.client.Do(t.Context(), a); out != core.NoConnection {
+		t.Errorf("outcome %d", out)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln.Close()
+	if _, out := r.client.Do(t.Context(), r.attempt(ln.Addr().String(), patience)); out != core.NoConnection {
+		t.Errorf("refused: outcome %d", out)
+	}
+}
+
+// Giving up closes the connection, whether time ran out or the client left, and nothing is written again.
+func TestGivingUpClosesTheConnection(t *testing.T) {
+	for _, leave := range []bool{false, true} {
+		var conns atomic.Int32
+		got, closed := make(chan struct{}, 2), make(chan struct{}, 2)
+		addr := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			conns.Add(1)
+			readCommand(r)
+			got <- struct{}{}
+			r.ReadByte()
+			closed <- struct{}{}
+		})
+		r := newRig()
+		ctx, cancel := context.WithCancel(t.Context())
+		wait, want := 50*time.Millisecond, core.TimedOut
+		if leave {
+			wait, want = patience, core.Cancelled
+			go func() {
+				<-got
+				cancel()
+			}()
+		}
+		if _, out := r.client.Do(ctx, r.attempt(addr, wait)); out != want && out != core.NotSent {
+			t.Errorf("outcome %d, want %d", out, want)
+		}
+		<-closed
+		cancel()
+		if n := conns.Load(); n != 1 {
+			t.Errorf("%d connections", n)
+		}
+	}
+}
+
+// A node that began to drain while its connection came up gets nothing.
+func TestDrainStateIsAskedAfterDialling(t *testing.T) {
+	got := make(chan string, 1)
+	addr := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		cmd, _ := readCommand(r)
+		got <- cmd
+	})
+	r := newRig()
+	a := r.attempt(addr, patience)
+	a.Open = func() bool { return false }
+	if _, out := r.client.Do(t.Context(), a); out != core.NotSent {
+		t.Errorf("outcome %d", out)
+	}
+	r.pool.Sweep()
+	a.Open = func() bool { return true }
+	a.Deadline = r.clock.Now() - 1
+	if _, out := r.client.Do(t.Context(), a); out != core.NotSent {
+		t.Errorf("late: outcome %d", out)
+	}
+	select {
+	case cmd := <-got:
+		t.Errorf("the node got %q", cmd)
+	default:
+	}
+}
+
+// Connections are used again, one attempt at a time.
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	var conns atomic.Int32
+	addr := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		conns.Add(1)
+		for {
+			if _, err := readCommand(r); err != nil {
+				return
+			}
+			io.WriteString(c, "*3\r\n$1\r\nv\r\n$-1\r\n$-1\r\n")
+		}
+	})
+	r := newRig()
+	for range 5 {
+		if _, out := r.client.Do(t.Context(), r.attempt(addr, patience)); out != core.Served {
+			t.Fatalf("outcome %d", out)
+		}
+	}
+	if n := conns.Load(); n != 1 {
+		t.Errorf("%d connections for attempts in a row", n)
+	}
+}
+
+// FuzzReply: whatever a node sends, in whatever pieces, reading it ends without a panic, holds no more than a
+// bounded value, and depends on the bytes alone.
+func FuzzReply(f *testing.F) {
+	for _, s := range []string{"*3\r\n$4\r\nv\r\nw\r\n$-1\r\n$-1\r\n", "*3\r\n$1\r\nv\r\n*2\r\n:3\r\n$2\r\nxx\r\n$5\r\na:1.5\r\n",
+		"-ERR failed\r\n", "-BUSY\r\n", "*1\r\n$-1\r\n", "+PONG\r\n", "*-1\r\n", "$99999999999\r\n", "*3\r\n*9\r\n*9\r\n"} {
+		f.Add([]byte(s), uint8(1))
+		f.Add([]byte(s[:len(s)/2]), uint8(3))
+	}
+	f.Fuzz(func(t *testing.T, b []byte, step uint8) {
+		one, err1 := readReply(bufio.NewReader(bytes.NewReader(b)), 64)
+		two, err2 := readReply(bufio.NewReader(&slow{b, int(step%7) + 1}), 64)
+		if (err1 == nil) != (err2 == nil) || !bytes.Equal(one.value, two.value) || one.err != two.err ||
+			one.served != two.served || len(one.value) > 64 {
+			t.Errorf("%q %v against %q %v", one.value, err1, two.value, err2)
+		}
+	})
+}
+
+// slow gives a few bytes a read.
+type slow struct {
+	b    []byte
+	step int
+}
+
+func (s *slow) Read(p []byte) (int, error) {
+	if len(s.b) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, s.b[:min(s.step, len(s.b))])
+	s.b = s.b[n:]
+	return n, nil
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -222,7 +222,7 @@
 	}
 }
 
-// alive looks, without waiting, whether the peer has closed an idle connection or sent what nobody asked for.
+// alive looks, without waiting or taking anything, whether the peer has closed an idle connection or sent what nobody asked for.
 func alive(c net.Conn) bool {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
@@ -235,7 +235,7 @@
 	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(err, syscall.EAGAIN)
 		return true
 	})
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,149 @@
+package pool
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"context"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/limits"
+)
+
+// pipes is a pool whose connections are pipes, in a synctest bubble; it counts dials.
+func pipes(lim *limits.Limits) (*Pool, *int) {
+	p, dials := New(lim, 3, clock.New()), 0
+	p.dial = func(context.Context, string, string) (net.Conn, error) {
+		dials++
+		a, _ := net.Pipe()
+		return a, nil
+	}
+	return p, &dials
+}
+
+func testLimits() *limits.Limits {
+	return &limits.Limits{Connect: 1_000_000, NodeIdle: 10_000_000, NodeFresh: 5_000_000, IdlePerNode: 2}
+}
+
+func get(t *testing.T, p *Pool, addr string, fresh bool) *Conn {
+	t.Helper()
+	c, err := p.Get(t.Context(), addr, fresh)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Work that must not run twice never goes on a connection that may have died unnoticed: one long silent, or one
+// older than an attempt at that node that got no answer. Other work may.
+func TestUnsafeWorkAvoidsStaleConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, dials := pipes(testLimits())
+		p.Put(get(t, p, "a", true))
+		p.Put(get(t, p, "a", true))
+		if *dials != 1 {
+			t.Errorf("%d dials, want 1: the connection was fresh", *dials)
+		}
+		time.Sleep(6 * time.Second)
+		c := get(t, p, "a", true)
+		if *dials != 2 {
+			t.Errorf("%d dials, want 2: silent for 6 s", *dials)
+		}
+		p.Put(c)
+		p.Quiet("a")
+		c = get(t, p, "a", true)
+		if *dials != 3 {
+			t.Errorf("%d dials, want 3: an attempt got no answer since", *dials)
+		}
+		other := get(t, p, "a", false)
+		if *dials != 3 {
+			t.Errorf("%d dials, want 3: what may run twice takes what there is", *dials)
+		}
+		time.Sleep(time.Second)
+		p.Put(other)
+		p.Put(c)
+		if get(t, p, "a", true); *dials != 3 {
+			t.Errorf("%d dials, want 3: it answered since", *dials)
+		}
+	})
+}
+
+// Idle connections are dropped well before the node's own limit, and no request crosses that.
+func TestIdleConnectionsAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, dials := pipes(testLimits())
+		p.Put(get(t, p, "a", false))
+		time.Sleep(11 * time.Second)
+		c := get(t, p, "a", false)
+		if *dials != 2 {
+			t.Errorf("%d dials, want 2", *dials)
+		}
+		p.Sweep()
+		if p.open != 1 {
+			t.Errorf("%d connections open, want 1", p.open)
+		}
+		p.Drop(c)
+		if p.open != 0 {
+			t.Errorf("%d connections open, want 0", p.open)
+		}
+	})
+}
+
+// The budget of descriptors holds: at its end an idle connection to another node makes room, else there is none.
+func TestBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := pipes(testLimits())
+		p.Put(get(t, p, "a", false))
+		get(t, p, "b", false)
+		get(t, p, "b", false)
+		get(t, p, "b", false)
+		if p.open != 3 || len(p.idle["a"]) != 0 {
+			t.Errorf("%d open, %d idle", p.open, len(p.idle["a"]))
+		}
+		if _, err := p.Get(t.Context(), "b", false); err != ErrFull {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
+// A connection that the peer has closed, or on which it sent what nobody asked for, is not lent.
+func TestDeadConnectionsAreNotLent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	peers := make(chan net.Conn, 3)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			peers <- c
+		}
+	}()
+	lim := testLimits()
+	lim.NodeIdle, lim.NodeFresh, lim.Connect = 1e12, 1e12, 30_000_000
+	p := New(lim, 3, clock.New())
+	for _, spoil := range []func(net.Conn){func(c net.Conn) { c.Close() }, func(c net.Conn) { c.Write([]byte("x")) }} {
+		c := get(t, p, ln.Addr().String(), false)
+		p.Put(c)
+		peer := <-peers
+		if !alive(c.Conn) {
+			t.Fatal("a sound connection counts as dead")
+		}
+		spoil(peer)
+		for alive(c.Conn) { // the news takes its time
+			time.Sleep(time.Millisecond)
+		}
+		if again := get(t, p, ln.Addr().String(), false); again == c {
+			t.Error("a dead connection was lent")
+		} else {
+			p.Drop(again)
+		}
+		<-peers
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,6 +59,7 @@
 	start, finish         float64       // tags
 	began                 time.Duration // first try of the client
 	aimAt, endAt          time.Duration // worth falls after aimAt; waiting ends at endAt
+	streamed              bool          // its answer began early: its client sets the pace
 	reserved, drawn       bool          // counted inside its volume's reserve; taken from its limit
 	over, waiting, served bool
 	attempts, out         int           // attempts so far; those without an outcome
@@ -222,6 +223,7 @@
 		s.answer(ev)
 	case StreamBegan, ClientLeft:
 		if r := s.reqs[ev.ID]; r != nil {
+			r.streamed = ev.Kind == StreamBegan
 			s.leave(r)
 			s.close(r)
 		}
@@ -581,8 +583,7 @@
 func (h *history) learn(lat float64, timedOut bool, aim float64, wanted bool) {
 	if h.lat == 0 {
 		h.lat = lat
-	}
-	if !timedOut || lat > h.lat {
+	} else if !timedOut || lat > h.lat {
 		h.lat += latGain * (lat - h.lat)
 	}
 	if timedOut && lat > pauseAim*aim {
@@ -621,8 +622,8 @@
 	}
 	switch ev.Outcome {
 	case Served, NodeError, TimedOut:
-		if s.stood > 0 {
-			break // how long it took tells of this host, not of the node
+		if s.stood > 0 || r.streamed { // how long it took tells of this host or the client, not of the node
+			break
 		}
 		if ev.Outcome == TimedOut {
 			lat *= lateStretch
