--- /dev/null
+++ b/internal/inventory/inventory_test.go
@@ -0,0 +1,95 @@
+package inventory
+
+import (
+	"strings"
+	"testing"
+)
+
+const good = `
+all:
+  vars: {config: base.json, memory_mb: 128, log: warn}
+  hosts:
+    n9: {listen: "127.0.0.1:7009"}
+  children:
+    olten:
+      vars: {memory_mb: 192, cores: 2, discovery: "127.0.0.1:8500"}
+      hosts:
+        n1: {listen: "127.0.0.1:7001"}
+        n2: {listen: "127.0.0.1:7002", memory_mb: 64}
+      children:
+        proof:
+          vars: {cores: 0.5, log: debug}
+          hosts:
+            n1:
+spare:
+  vars: {enabled: false, log: error}
+  hosts:
+    n3: {listen: "127.0.0.1:7003"}
+    n1: {}
+`
+
+func TestYAMLPrecedence(t *testing.T) {
+	list, err := Parse("/etc/p/inv.yaml", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Instance{
+		// n1 is in olten, in proof below it, and in spare: proof lies deeper than spare and wins.
+		{Name: "n1", Config: "/etc/p/base.json", Listen: "127.0.0.1:7001", Discovery: "127.0.0.1:8500", Log: "debug", Cores: 0.5, MemoryMB: 192},
+		{Name: "n2", Config: "/etc/p/base.json", Listen: "127.0.0.1:7002", Discovery: "127.0.0.1:8500", Log: "warn", Cores: 2, MemoryMB: 64, Enabled: true},
+		{Name: "n3", Config: "/etc/p/base.json", Listen: "127.0.0.1:7003", Log: "error", MemoryMB: 128},
+		{Name: "n9", Config: "/etc/p/base.json", Listen: "127.0.0.1:7009", Log: "warn", MemoryMB: 128, Enabled: true},
+	}
+	if len(list) != len(want) {
+		t.Fatalf("got %+v", list)
+	}
+	for i := range want {
+		if list[i] != want[i] {
+			t.Errorf("got  %+v\nwant %+v", list[i], want[i])
+		}
+	}
+}
+
+func TestCSV(t *testing.T) {
+	list, err := Parse("inv.csv", []byte("name, listen,config,memory_mb,enabled\nb,127.0.0.1:2,/c.json,,false\n# spare\na,127.0.0.1:1,c.json,64,\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(list) != 2 || list[0] != (Instance{Name: "a", Config: "c.json", Listen: "127.0.0.1:1", MemoryMB: 64, Enabled: true}) ||
+		list[1] != (Instance{Name: "b", Config: "/c.json", Listen: "127.0.0.1:2"}) {
+		t.Errorf("got %+v", list)
+	}
+}
+
+// Each error names the file, the line and the key.
+func TestErrorsNameFileLineAndKey(t *testing.T) {
+	for _, x := range []struct{ file, text, want string }{
+		{"i.csv", "", "i.csv:1: no header"},
+		{"i.csv", "listen\n127.0.0.1:1\n", "i.csv:1: name: column missing"},
+		{"i.csv", "name,colour\n", "i.csv:1: colour: unknown key"},
+		{"i.csv", "name,listen,listen\n", "i.csv:1: listen: column given twice"},
+		{"i.csv", "name,listen,config\na,127.0.0.1:1,c\na,127.0.0.1:2,c\n", "i.csv:3: a: instance given twice"},
+		{"i.csv", "name,listen,config\na,127.0.0.1:1,c\nb,127.0.0.1:1,c\n", "i.csv:3: b.listen: address 127.0.0.1:1 is also a's"},
+		{"i.csv", "name,listen,config\na,127.0.0.1,c\n", `i.csv:2: a.listen: "127.0.0.1" is not HOST:PORT`},
+		{"i.csv", "name,listen\na,127.0.0.1:1,c\n", "i.csv:2: wrong number of fields"},
+		{"i.csv", "name,listen\na,127.0.0.1:1\n", "i.csv:2: a.config: missing"},
+		{"i.csv", "name,listen,config\n../a,127.0.0.1:1,c\n", "i.csv:2: ../a: a name is"},
+		{"i.yml", "all:\n  hosts:\n    a: {listen: 'x:1', config: c, memory_mb: lots}\n", `i.yml:3: a.memory_mb: "lots" is not a whole number`},
+		{"i.yml", "all:\n  hosts:\n    a: {size: 3}\n", "i.yml:3: all.hosts.a.size: unknown key"},
+		{"i.yml", "all:\n  colour: red\n", "i.yml:2: all.colour: unknown key"},
+		{"i.yml", "all:\n  hosts:\n    a: {log: info, log: warn}\n", "i.yml:3: all.hosts.a.log: key given twice"},
+		{"i.yml", "g:\n  hosts:\n    a: {log: info}\nh:\n  hosts:\n    a: {log: warn}\n", "i.yml:6: h.hosts.a.log: set twice, first in line 3"},
+		{"i.yml", "all:\n  children:\n    g:\n      children:\n        g:\n", "g: the group contains itself"},
+		{"i.yml", "all: [1]\n", "i.yml:1: all: must be a mapping"},
+		{"i.yml", "all:\n  vars: {listen: [1]}\n", "i.yml:2: all.vars.listen: must be a single value"},
+		{"i.yml", "a: b: c\n", "i.yml:1: "},
+		{"i.yml", "", "i.yml: empty"},
+		{"i.yml", "all:\n", "i.yml: no instances"},
+		{"i.txt", "", "i.txt: an inventory ends in"},
+	} {
+		_, err := Parse(x.file, []byte(x.text))
+		if err == nil || !strings.HasPrefix(err.Error(), x.want) && !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q: got %v, want %s", x.text, err, x.want)
+		}
+	}
+}
