--- a/internal/standin/objects.go
+++ b/internal/standin/objects.go
@@ -126,7 +126,7 @@
 		}
 		s.upload(w, r, q.Get("uploadId"), u, body)
 	case r.Method == http.MethodPut:
-		o := &object{body: body, etag: etag(body), kind: r.Header.Get("Content-Type"), at: time.Now()}
+		o := &object{body: body, etag: etag(body), kind: kind(r), at: time.Now()}
 		s.objects[r.URL.Path] = o
 		w.Header().Set("ETag", o.etag)
 	case r.Method == http.MethodDelete:
@@ -221,3 +221,10 @@
 
 // Cut serves a request on w, which may swallow some or all of the answer, past the hook.
 func (s *Objects) Cut(w http.ResponseWriter, r *http.Request) { s.serve(w, r) }
+
+func kind(r *http.Request) string {
+	if k := r.Header.Get("Content-Type"); k != "" {
+		return k
+	}
+	return "application/octet-stream"
+}
