Tests of block front, discovery and configuration; idle clients make room only for one that is there

TestIdleClientsMakeRoom failed with the client at the bound closed before it was ever served: listener.Accept (front.go) made room before it waited for the next client, so at the bound an idle one was closed for nobody. It now accepts first.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func none(string) string { return "" }
+
+const good = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":3,"all":true,"targets":[]},
+ "settings":{"zones":["z"],"classes":[{"name":"r","aim_ns":1000000,"give_up_ns":9000000000,"repeat":"retryable"},
+  {"name":"u","aim_ns":1000000,"give_up_ns":2000000,"repeat":"fragile"}],
+  "policies":[{"name":"p","shares":1}],"limits":{"keepalive_ns":9000000000,"connect_timeout_ns":100000000},
+  "specifics":{"n_shards":2}},
+ "object":{"listen":"127.0.0.1:3","read_class":"r","write_class":"r","complete_class":"u","default_plan":"p"}}`
+
+func TestDefaultsAndDerivedLimits(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := c.Limits
+	if c.Seed != 0x8c1f30d27a5be964 || l.Procs != 1 || l.Memory >= 192<<20 || l.Descriptors != 1024 ||
+		l.ClientConns+l.NodeConns >= 1024 || l.Connect != 100_000 || l.NodeIdle != 3_000_000 || l.NodeFresh >= l.NodeIdle ||
+		l.DrainTotal < 9_000_000 || c.Object.Shards != 2 || c.Object.UnitBytes != 1<<20 {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestEnvironmentOverrides(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"LB_CONFIG": path, "LB_NAME": "x", "LB_LISTEN": "127.0.0.1:9", "LB_DISCOVERY": "127.0.0.1:8"}
+	c, err := Load(func(k string) string { return env[k] })
+	if err != nil || c.Name != "x" || c.Listen != "127.0.0.1:9" || c.Discovery != "127.0.0.1:8" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	if _, err := Load(none); err == nil || !strings.HasPrefix(err.Error(), "LB_CONFIG") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// Every error names the faulty key.
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, x := range []struct{ old, new, want string }{
+		{`"listen":"127.0.0.1:1"`, `"listen":"127.0.0.1"`, "listen: "},
+		{`"listen":"127.0.0.1:1"`, `"listen":7`, "listen: "},
+		{`"discovery":"127.0.0.1:2"`, `"discovery":""`, "discovery: missing"},
+		{`"seed":"8c1f30d27a5be964"`, `"seed":"xyz"`, "seed: "},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits.memory_mb: "},
+		{`"memory_mb":192`, `"memory_mb":"lots"`, "limits.memory_mb: "},
+		{`"sockets":1024`, `"sockets":9`, "limits.sockets: "},
+		{`"sockets":1024`, `"sockets":-9`, "limits: "},
+		{`"targets":[]`, `"targets":[{"uid":"a","endpoint":"x","state":"odd"}]`, "known.targets[0].state: "},
+		{`"repeat":"fragile"`, `"repeat":"odd"`, "settings: classes[1].repeat: "},
+		{`"aim_ns":1000000,"give_up_ns":2000000`, `"give_up_ns":2000000`, "settings: classes[1].aim: "},
+		{`"complete_class":"u"`, `"complete_class":"r"`, "object.complete_class: "},
+		{`"read_class":"r"`, `"read_class":"u"`, "object.read_class: "},
+		{`"write_class":"r"`, `"write_class":"q"`, "object.write_class: "},
+		{`"default_plan":"p"`, `"default_plan":"q"`, "object.default_plan: "},
+		{`"default_plan":"p"`, `"default_plan":"p","buckets":{"b":"q"}`, "object.buckets.b: "},
+		{`"listen":"127.0.0.1:3"`, `"listen":""`, "object.listen: "},
+		{`"object":`, `"tuning":{"max_opne":3},"object":`, "tuning: "},
+		{`"object":`, `"tuning":{"max_open":0},"object":`, "tuning.max_open: "},
+		{`"object":`, `"tuning":{"client_conns":5000},"object":`, "tuning.client_conns: "},
+		{`"object":`, `"log":"loud","object":`, "log: "},
+	} {
+		text := strings.Replace(good, x.old, x.new, 1)
+		if text == good {
+			t.Fatalf("%s is not there", x.old)
+		}
+		if _, err := Parse([]byte(text), none); err == nil || !strings.HasPrefix(err.Error(), x.want) {
+			t.Errorf("%s: got %v", x.new, err)
+		}
+	}
+}
+
+// The operator's and the example's files are sound.
+func TestShippedConfigurations(t *testing.T) {
+	for _, path := range []string{"../../examples/config.json", "../../deploy/object.json"} {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Parse(text, none); err != nil {
+			t.Errorf("%s: %v", path, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,151 @@
+package discovery_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/limits"
+	"poppyarch/internal/standin"
+	"poppyarch/policy"
+)
+
+func testLimits() *limits.Limits {
+	return &limits.Limits{ListWait: 60_000_000, ListGrace: 30_000_000, MaxList: 1 << 16, MaxListRows: 100, NodeIdle: 60_000_000}
+}
+
+// watch runs a client against a handler and returns the table that it keeps.
+func watch(t *testing.T, h http.Handler, lim *limits.Limits) *core.Nodes {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	f, err := policy.NewFacade(policy.Config{Ask: true, AskWithin: time.Second,
+		Classes: []policy.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := core.NewNodes()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wait.Wait()
+		srv.Close()
+	})
+	c := discovery.New(strings.TrimPrefix(srv.URL, "http://"), 1, []string{"room"}, table, f, lim,
+		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	wait.Go(func() { core.Loop(ctx, f, clock.New()) })
+	wait.Go(func() { c.Run(ctx) })
+	return table
+}
+
+// eventually waits for what must come.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came: " + what)
+		}
+	}
+}
+
+func target(uid, state string) discovery.Target {
+	return discovery.Target{UID: uid, Endpoint: "127.0.0.1:1", AZ: "room", State: state}
+}
+
+func state(table *core.Nodes, uid string) func(policy.NodeState) func() bool {
+	return func(want policy.NodeState) func() bool {
+		return func() bool {
+			n, ok := table.Get(uid)
+			return ok && n.State == want
+		}
+	}
+}
+
+// Changes reach the table, one call after the other.
+func TestWatchFollowsChanges(t *testing.T) {
+	d := standin.NewDiscovery()
+	table := watch(t, d, testLimits())
+	d.Set(target("a", "up"))
+	eventually(t, "a is up", state(table, "a")(policy.Ready))
+	d.Set(target("a", "draining"))
+	eventually(t, "a drains", state(table, "a")(policy.Draining))
+	d.Set(target("a", "removed"), target("b", "up"))
+	eventually(t, "a is gone", state(table, "a")(policy.Gone))
+	eventually(t, "b is up", state(table, "b")(policy.Ready))
+}
+
+// A dead discovery leaves the list in force, is not hammered, and is taken up again.
+func TestOutlivesADeadDiscovery(t *testing.T) {
+	d := standin.NewDiscovery()
+	table := watch(t, d, testLimits())
+	d.Set(target("a", "up"))
+	eventually(t, "a is up", state(table, "a")(policy.Ready))
+	d.SetDown(true)
+	n := len(d.Calls())
+	eventually(t, "two more calls", func() bool { return len(d.Calls()) >= n+2 })
+	calls := d.Calls()
+	if gap := calls[len(calls)-1].Sub(calls[len(calls)-2]); gap < 100*time.Millisecond {
+		t.Errorf("asked again after %v", gap) // a lower bound: no slow machine makes a pause shorter
+	}
+	if !state(table, "a")(policy.Ready)() {
+		t.Error("the list went away with discovery")
+	}
+	d.SetDown(false)
+	d.Set(target("a", "draining"))
+	eventually(t, "a drains", state(table, "a")(policy.Draining))
+}
+
+// The next call goes out when the answer is in, with no pause between: a watch ends after 200 ms.
+func TestWatchesAgainAtOnce(t *testing.T) {
+	rev := 1
+	var times []time.Time
+	var mu sync.Mutex
+	watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		rev++
+		times = append(times, time.Now())
+		fmt.Fprintf(w, `{"rev":%d,"all":false,"targets":[]}`, rev)
+	}), testLimits())
+	eventually(t, "fifty calls", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(times) >= 50 // one for each failure's wait would take half a minute
+	})
+}
+
+// Answers that cannot be are failures, not lists: the old one stays.
+func TestFaultyAnswersAreFailures(t *testing.T) {
+	for _, body := range []string{`{`, `{"rev":5,"targets":[{"uid":"a","endpoint":"x","state":"new"}]}`,
+		`{"rev":5,"targets":[{"state":"up"}]}`, `{"rev":5,"targets":"` + strings.Repeat("x", 1<<17) + `"}`} {
+		var mu sync.Mutex
+		n := 0
+		table := watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if n++; n == 1 {
+				io.WriteString(w, `{"rev":2,"all":true,"targets":[{"uid":"a","endpoint":"x","state":"up"}]}`)
+				return
+			}
+			io.WriteString(w, body)
+		}), testLimits())
+		eventually(t, "two calls after the first", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return n >= 3
+		})
+		if !state(table, "a")(policy.Ready)() {
+			t.Errorf("the list went away with %.40q", body)
+		}
+	}
+}
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -88,9 +88,9 @@
 // does it wait.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		l.front.room()
 		c, err := l.Listener.Accept()
 		if err == nil {
+			l.front.room() // only now that one is there: before, an idle client would make room for nobody
 			cl := &client{front: l.front, slots: make(chan *slot, l.front.lim.MaxPipeline)}
 			cl.net = &guarded{Conn: c, scan: scanner{lim: l.front.lim}}
 			cl.since.Store(l.front.clock.Now())
--- /dev/null
+++ b/internal/front/block/front_test.go
@@ -0,0 +1,315 @@
+package block
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
+	"poppyarch/internal/node"
+	"poppyarch/policy"
+)
+
+const patience = 30 * time.Second
+
+func testLimits() *limits.Limits {
+	return &limits.Limits{MaxMessage: 4096, MaxArgs: 8, MaxValue: 2048, MaxPipeline: 8, MaxBodies: 1 << 20,
+		ClientWrite: patience.Microseconds()}
+}
+
+// broker answers each request when the test says so; its id is the key.
+type broker struct {
+	mu      sync.Mutex
+	waiting map[string]chan core.Answer[[]byte]
+	came    chan core.Request[*node.Command]
+	left    chan string
+}
+
+func (b *broker) ask(id string) chan core.Answer[[]byte] {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.waiting[id] == nil {
+		b.waiting[id] = make(chan core.Answer[[]byte], 1)
+	}
+	return b.waiting[id]
+}
+
+func (b *broker) Do(ctx context.Context, r core.Request[*node.Command]) core.Answer[[]byte] {
+	id := string(r.Work.ID)
+	b.came <- r
+	select {
+	case a := <-b.ask(id):
+		return a
+	case <-ctx.Done():
+		b.left <- id
+		return core.Answer[[]byte]{Kind: core.Failure}
+	}
+}
+
+type rig struct {
+	t      *testing.T
+	front  *Front
+	broker *broker
+	ln     net.Listener
+}
+
+func newRig(t *testing.T, lim *limits.Limits, conns int) *rig {
+	t.Helper()
+	b := &broker{waiting: map[string]chan core.Answer[[]byte]{}, came: make(chan core.Request[*node.Command], 64),
+		left: make(chan string, 64)}
+	names := NewNames(&policy.Config{Classes: []policy.Class{{Name: "read"}, {Name: "new", Repeat: policy.Unsafe}},
+		Plans: []policy.Plan{{Name: "gold"}}})
+	f := New(b, names, conns, clock.New(), lim, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.Serve(ln)
+	return &rig{t, f, b, ln}
+}
+
+func (r *rig) dial() (net.Conn, *bufio.Reader) {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.ln.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return c, bufio.NewReader(c)
+}
+
+func words(w ...string) string {
+	out := fmt.Sprintf("*%d\r\n", len(w))
+	for _, s := range w {
+		out += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	return out
+}
+
+const params = "c=read,t=gold,d=480,volume=00000003b4d60021,units=2,shard=5,hosts=3,k=x"
+
+func read(id string) string { return words("BLK.READ", "7f3a9c21e0b4d655", id, params) }
+
+// expectText reads exactly what is expected.
+func expectText(t *testing.T, r *bufio.Reader, want string) {
+	t.Helper()
+	b := make([]byte, len(want))
+	n, err := io.ReadFull(r, b)
+	if string(b[:n]) != want {
+		t.Fatalf("got %q (%v), want %q", b[:n], err, want)
+	}
+}
+
+// expectEnd wants the connection closed with nothing more on it.
+func expectEnd(t *testing.T, r *bufio.Reader) {
+	t.Helper()
+	if rest, err := io.ReadAll(r); err != nil || len(rest) > 0 {
+		t.Fatalf("got %q (%v), want the end", rest, err)
+	}
+}
+
+func value(s string) core.Answer[[]byte] { return core.Answer[[]byte]{Value: []byte(s)} }
+
+// Commands written behind each other all start at once; their answers keep the order, whichever is ready first.
+func TestPipelinedCommandsAreAnsweredInOrder(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	io.WriteString(c, read("a")+words("PING")+read("b")+read("c"))
+	for range 3 {
+		<-r.broker.came
+	}
+	r.broker.ask("c") <- core.Answer[[]byte]{Kind: core.Refusal, Hint: 1500}
+	r.broker.ask("b") <- core.Answer[[]byte]{Kind: core.Failure}
+	r.broker.ask("a") <- value("v\r\n1")
+	expectText(t, in, "$4\r\nv\r\n1\r\n+PONG\r\n-ERR failed\r\n-BUSY 2\r\n")
+}
+
+func TestARequestIsReadAsItIsWritten(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	io.WriteString(c, words("blk.write", "7f3a9c21e0b4d655", "id9", strings.Replace(params, "c=read", "c=new", 1), "b\r\ny"))
+	q := <-r.broker.came
+	left := q.Due - r.front.clock.Now()
+	if q.Class != 1 || !q.Unsafe || q.Plan != 0 || q.Volume != "00000003b4d60021" || q.Key != "7f3a9c21e0b4d655" ||
+		q.Units != 2 || q.Shard != 5 || q.Hosts != 3 || left > 480_000 || string(q.Work.Body) != "b\r\ny" ||
+		len(q.Work.Params) != 8 || q.Work.Params[7] != (node.Param{Name: "k", Value: "x"}) {
+		t.Errorf("%+v, %+v", q.Job, q.Work)
+	}
+	r.broker.ask("id9") <- core.Answer[[]byte]{Kind: core.Refusal}
+	expectText(t, in, "-BUSY\r\n")
+}
+
+// A client that leaves while its request waits ends it; one that only waits does not.
+func TestClientsThatLeaveAreNoticed(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, _ := r.dial()
+	io.WriteString(c, read("a")+read("b"))
+	<-r.broker.came
+	<-r.broker.came
+	c.Close()
+	if ids := <-r.broker.left + <-r.broker.left; ids != "ab" && ids != "ba" {
+		t.Errorf("left: %q", ids)
+	}
+}
+
+func TestMalformedInputGetsAnErrorAndAClose(t *testing.T) {
+	for _, x := range []struct{ in, want string }{
+		{"GET / HTTP/1.1\r\n", "-ERR Protocol error: expected '*'\r\n"},
+		{"*2\r\n:1\r\n", "-ERR Protocol error: expected '$'\r\n"},
+		{"*9\r\n", "-ERR Protocol error: length over 8\r\n"},
+		{"*0\r\n", "-ERR Protocol error: bad length\r\n"},
+		{"*-1\r\n", "-ERR Protocol error: bad length\r\n"},
+		{"*1\r\n$99999999999999999999\r\n", "-ERR Protocol error: length over 2048\r\n"},
+		{"*1\r\n$1\r\nab", "-ERR Protocol error: bulk string longer than announced\r\n"},
+		{"*3\r\n" + strings.Repeat("$2000\r\n"+strings.Repeat("x", 2000)+"\r\n", 3), "-ERR Protocol error: command over 4096 bytes\r\n"},
+		// What came whole before it is served, and answered first.
+		{words("PING") + "x", "+PONG\r\n-ERR Protocol error: expected '*'\r\n"},
+		{words("PING") + words("PING") + "*x\r\n", "+PONG\r\n+PONG\r\n-ERR Protocol error: bad length\r\n"},
+	} {
+		r := newRig(t, testLimits(), 4)
+		c, in := r.dial()
+		io.WriteString(c, x.in)
+		expectText(t, in, x.want)
+		expectEnd(t, in)
+	}
+}
+
+func TestMalformedInputWaitsForWhatIsOwed(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	io.WriteString(c, read("a")+"garbage")
+	<-r.broker.came
+	r.broker.ask("a") <- value("v")
+	expectText(t, in, "$1\r\nv\r\n-ERR Protocol error: expected '*'\r\n")
+	expectEnd(t, in)
+}
+
+// Wrong commands in sound form are errors, and the connection goes on.
+func TestWrongCommandsKeepTheConnection(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	for _, x := range []struct{ in, want string }{
+		{words("FLUSHALL"), "-ERR unknown command\r\n"},
+		{words("BLK.READ", "x"), "-ERR BLK.READ takes 4 words, got 2\r\n"},
+		{words("BLK.READ", "zz", "id", params), "-ERR piece is not 16 hex digits\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", "c=no,"+params[7:]), "-ERR c: cannot be \"no\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "d=480", "d=-1", 1)), "-ERR d: cannot be \"-1\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "units=2", "units=NaN", 1)), "-ERR units: cannot be \"NaN\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "d=480,", "", 1)), "-ERR d is missing\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", params+",c=read"), "-ERR malformed or repeated field \"c=read\"\r\n"},
+		{words("PING", "hi"), "$2\r\nhi\r\n"},
+	} {
+		io.WriteString(c, x.in)
+		expectText(t, in, x.want)
+	}
+}
+
+// Beyond the bound on held bytes a request is refused: nothing ran.
+func TestHeldBytesAreBounded(t *testing.T) {
+	lim := testLimits()
+	lim.MaxBodies = int64(len(read("a"))) + 10
+	r := newRig(t, lim, 4)
+	c, in := r.dial()
+	io.WriteString(c, read("a")+read("b"))
+	<-r.broker.came
+	r.broker.ask("a") <- value("v")
+	expectText(t, in, "$1\r\nv\r\n-BUSY\r\n")
+}
+
+// At the bound on connections the longest idle client makes room; a busy one never does.
+func TestIdleClientsMakeRoom(t *testing.T) {
+	r := newRig(t, testLimits(), 2)
+	busy, busyIn := r.dial()
+	io.WriteString(busy, read("a"))
+	<-r.broker.came
+	idle, idleIn := r.dial()
+	io.WriteString(idle, words("PING"))
+	expectText(t, idleIn, "+PONG\r\n")
+	next, nextIn := r.dial()
+	io.WriteString(next, words("PING"))
+	expectText(t, nextIn, "+PONG\r\n")
+	expectEnd(t, idleIn)
+	r.broker.ask("a") <- value("v")
+	expectText(t, busyIn, "$1\r\nv\r\n")
+}
+
+// A drain closes idle clients, takes new ones until the listener closes, answers what was taken, and then ends.
+func TestDrain(t *testing.T) {
+	r := newRig(t, testLimits(), 8)
+	busy, busyIn := r.dial()
+	io.WriteString(busy, read("a"))
+	<-r.broker.came
+	idle, idleIn := r.dial()
+	io.WriteString(idle, words("PING"))
+	expectText(t, idleIn, "+PONG\r\n")
+	done := make(chan error, 1)
+	go func() { done <- r.front.Drain(t.Context()) }()
+	expectEnd(t, idleIn)
+	late, lateIn := r.dial()
+	io.WriteString(late, read("b"))
+	<-r.broker.came
+	r.ln.Close()
+	r.broker.ask("b") <- value("w")
+	expectText(t, lateIn, "$1\r\nw\r\n")
+	expectEnd(t, lateIn)
+	select {
+	case err := <-done:
+		t.Fatalf("the drain is over with a request open: %v", err)
+	default:
+	}
+	r.broker.ask("a") <- value("v")
+	expectText(t, busyIn, "$1\r\nv\r\n")
+	expectEnd(t, busyIn)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// FuzzScanner: however input is cut, the same bytes are sound; what passes is whole commands that redcon takes.
+func FuzzScanner(f *testing.F) {
+	f.Add([]byte(read("a")+words("PING")), uint8(1))
+	f.Add([]byte(words("BLK.WRITE", "7f3a9c21e0b4d655", "i", params, "")+"garbage"), uint8(5))
+	f.Add([]byte("*1\r\n$-1\r\n"), uint8(2))
+	f.Add([]byte("*1\r\n$4\r\nPI"), uint8(3))
+	f.Fuzz(func(t *testing.T, b []byte, step uint8) {
+		one, two := scanner{lim: testLimits()}, scanner{lim: testLimits()}
+		_, whole, err := one.scan(b)
+		cut, err2 := 0, error(nil)
+		for at := 0; at < len(b) && err2 == nil; {
+			end := min(at+int(step%9)+1, len(b))
+			var w int
+			if _, w, err2 = two.scan(b[at:end]); w > 0 {
+				cut = at + w
+			}
+			at = end
+		}
+		if cut != whole || (err == nil) != (err2 == nil) {
+			t.Fatalf("whole: %d %v; in cuts: %d %v", whole, err, cut, err2)
+		}
+		commands(t, b[:whole])
+	})
+}
+
+// FuzzCommand: no words make the parser panic, and what it takes is in bounds.
+func FuzzCommand(f *testing.F) {
+	f.Add("BLK.READ", "7f3a9c21e0b4d655", params)
+	f.Add("BLK.WRITE", "7f3a9c21e0b4d655", "c=new,,=,d=1e99")
+	names := NewNames(&policy.Config{Classes: []policy.Class{{Name: "read"}}, Plans: []policy.Plan{{Name: "gold"}}})
+	f.Fuzz(func(t *testing.T, name, piece, list string) {
+		q, err := parse([][]byte{[]byte(name), []byte(piece), []byte("id"), []byte(list)}, names, 1000)
+		if err == nil && (q.Due <= 1000 || q.Units <= 0 || q.Class != 0 || q.Shard < -1) {
+			t.Errorf("%+v", q.Job)
+		}
+	})
+}
