Discovery: version 0 is a version; the list is no longer read in a busy loop

Faulty lines: discovery.call took rev 0 for 'no list known' (if rev > 0), and discovery starts at version 0, so until the first change each answer was followed by another read of the whole list, until discovery turned calls away. Ruled out: a discovery that was down (calls between them succeeded) and the module's own waits (0.5 s and up, as logged).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -56,7 +56,7 @@
 		MemoryMB int64   `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    discovery.List  `json:"known"`
+	Known    *discovery.List `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 	Object   *Object         `json:"object"`
 	Log      string          `json:"log"`
@@ -116,11 +116,14 @@
 			*to = v
 		}
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: in.Known, Object: in.Object,
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object,
 		LogLevel: in.Log}
 	if c.Name == "" {
 		c.Name = "broker"
 	}
+	if in.Known != nil {
+		c.Known = *in.Known
+	}
 	if c.Listen == "" && c.Object == nil {
 		return nil, errors.New("listen: missing (and no object front is set up)")
 	}
@@ -206,7 +209,7 @@
 		MaxOpen: 4096, MaxBodies: memory / 6, MaxPipeline: 128, MaxMessage: 72 << 10, MaxArgs: 16, MaxValue: 64 << 10,
 		ClientWrite: 5 * s, AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
 		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, IdlePerNode: 16,
-		ListWait: 10 * s, ListGrace: 2 * s, MaxList: 4 << 20, MaxListRows: 10000,
+		ListWait: 10 * s, ListGrace: 2 * s, ListPause: 100 * ms, MaxList: 4 << 20, MaxListRows: 10000,
 		MaxObject: 16 << 20, MaxHead: 16 << 10, ObjectBuffer: 64 << 10, MaxParts: 10000, ObjectIdle: 60 * s,
 		ObjectStall: 10 * s, MaxCompletion: 1 << 20, ReadBack: 1 * s, ReadBackPause: 100 * ms,
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -94,6 +94,9 @@
 	log   *slog.Logger
 }
 
+// NoList is the version of a list that is not known. 0 is a version like any other.
+const NoList int64 = -1
+
 // New returns a client that keeps the table and the module up to date. rev is that of the list they know.
 func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
 	log *slog.Logger) *Client {
@@ -130,11 +133,12 @@
 // call reads the whole list where none is known.
 func (c *Client) watch(ctx context.Context) error {
 	for {
+		asked := time.Now()
 		l, err := c.call(ctx, c.rev)
 		if err == nil && l.Rev < c.rev {
 			// Discovery has lost its history: only a whole list says what is left.
 			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
-			l, err = c.call(ctx, 0)
+			l, err = c.call(ctx, NoList)
 		}
 		if err != nil {
 			return err
@@ -143,6 +147,15 @@
 		if err != nil {
 			return fmt.Errorf("node list %d: %w", l.Rev, err)
 		}
+		if l.Rev == c.rev && time.Since(asked) < clock.Duration(c.lim.ListPause) {
+			// It brought no news and did not wait for any: asking on without a pause would bury discovery. The
+			// pause is well within the time that a watch lasts between two calls.
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(clock.Duration(c.lim.ListPause)):
+			}
+		}
 		c.rev = l.Rev
 		// The table goes first: what the module decides next is checked against it.
 		c.table.Update(nodes, l.All)
@@ -153,10 +166,13 @@
 	}
 }
 
-// call makes one call: for what is newer than rev, or with 0 for the whole list.
+// call makes one call: for what is newer than rev, or with NoList for the whole list.
+//
+// Version 0 must not count as no list: discovery starts there, and a client that took it so read the whole list
+// over and over, hundreds of times a second, until discovery answered all brokers with 503.
 func (c *Client) call(ctx context.Context, rev int64) (*List, error) {
 	wait, q := int64(0), url.Values{}
-	if rev > 0 {
+	if rev != NoList {
 		wait = c.lim.ListWait
 		q.Set("after", strconv.FormatInt(rev, 10))
 		q.Set("wait_ms", strconv.FormatInt(wait/1000, 10))
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -21,7 +21,8 @@
 )
 
 func testLimits() *limits.Limits {
-	return &limits.Limits{ListWait: 60_000_000, ListGrace: 30_000_000, MaxList: 1 << 16, MaxListRows: 100, NodeIdle: 60_000_000}
+	return &limits.Limits{ListWait: 60_000_000, ListGrace: 30_000_000, MaxList: 1 << 16, MaxListRows: 100, NodeIdle: 60_000_000,
+		ListPause: 50_000}
 }
 
 // watch runs a client against a handler and returns the table that it keeps.
@@ -41,7 +42,7 @@
 		wait.Wait()
 		srv.Close()
 	})
-	c := discovery.New(strings.TrimPrefix(srv.URL, "http://"), 1, []string{"room"}, table, f, lim,
+	c := discovery.New(strings.TrimPrefix(srv.URL, "http://"), discovery.NoList, []string{"room"}, table, f, lim,
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	wait.Go(func() { core.Loop(ctx, f, clock.New()) })
 	wait.Go(func() { c.Run(ctx) })
@@ -124,6 +125,53 @@
 	})
 }
 
+// Version 0 is a version: the list is read once, and then only what is newer is asked for.
+func TestVersionZeroIsNotReadOverAndOver(t *testing.T) {
+	var mu sync.Mutex
+	var calls []string
+	d := standin.NewDiscovery()
+	table := watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		calls = append(calls, r.URL.RawQuery)
+		mu.Unlock()
+		d.ServeHTTP(w, r)
+	}), testLimits())
+	eventually(t, "a second call", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(calls) > 1
+	})
+	d.Set(target("a", "up"))
+	eventually(t, "a is up", state(table, "a")(policy.Ready))
+	mu.Lock()
+	defer mu.Unlock()
+	if calls[0] != "" || calls[1] != "after=0&wait_ms=60000" || len(calls) > 3 {
+		t.Errorf("calls: %q", calls)
+	}
+}
+
+// A discovery that answers at once though it has no news is asked again after a pause, not in a busy loop.
+func TestAnswersWithoutNewsAreNotAskedForInABusyLoop(t *testing.T) {
+	var mu sync.Mutex
+	var times []time.Time
+	watch(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		times = append(times, time.Now())
+		io.WriteString(w, `{"rev":7,"all":false,"targets":[]}`)
+	}), testLimits())
+	eventually(t, "five calls", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(times) >= 5
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if gap := times[4].Sub(times[1]); gap < 3*50*time.Millisecond { // a lower bound: no slow machine goes under it
+		t.Errorf("three calls in %v", gap)
+	}
+}
+
 // Answers that cannot be are failures, not lists: the old one stays.
 func TestFaultyAnswersAreFailures(t *testing.T) {
 	for _, body := range []string{`{`, `{"rev":5,"targets":[{"uid":"a","endpoint":"x","state":"new"}]}`,
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -32,6 +32,7 @@
 	// Discovery.
 	ListWait    int64 `json:"list_wait"`     // how long a watch call waits for news
 	ListGrace   int64 `json:"list_grace"`    // and how much later its answer may come
+	ListPause   int64 `json:"list_pause"`    // before the next call where one came back at once without news
 	MaxList     int64 `json:"max_list"`      // one answer
 	MaxListRows int   `json:"max_list_rows"` // entries of one answer
 
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -96,7 +96,7 @@
 }
 
 func (r *rig) configText(extra string) []byte {
-	known, err := json.Marshal(r.disc.List(0))
+	known, err := json.Marshal(r.disc.List(-1))
 	if err != nil {
 		r.t.Fatal(err)
 	}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -26,9 +26,9 @@
 	rev int64
 }
 
-// NewDiscovery returns an empty list at version 1.
+// NewDiscovery returns an empty list at version 0.
 func NewDiscovery() *Discovery {
-	return &Discovery{rev: 1, byUID: map[string]entry{}, changed: make(chan struct{})}
+	return &Discovery{byUID: map[string]entry{}, changed: make(chan struct{})}
 }
 
 // Set adds or changes entries.
@@ -62,11 +62,11 @@
 	return append([]time.Time(nil), d.calls...)
 }
 
-// List is the list as it stands: what is newer than after, or all.
+// List is the list as it stands: what is newer than after, or with -1 all.
 func (d *Discovery) List(after int64) discovery.List {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	l := discovery.List{Rev: d.rev, All: after <= 0, Targets: []discovery.Target{}}
+	l := discovery.List{Rev: d.rev, All: after < 0, Targets: []discovery.Target{}}
 	for _, uid := range d.order {
 		if e := d.byUID[uid]; e.rev > after && (!l.All || e.State != "removed") {
 			l.Targets = append(l.Targets, e.Target)
@@ -84,10 +84,13 @@
 		http.NotFound(w, r)
 		return
 	}
-	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = -1
+	}
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("wait_ms"), 10, 64)
 	timeout := time.After(time.Duration(min(max(wait, 0), 60000)) * time.Millisecond)
-	for waiting := after > 0; waiting; {
+	for waiting := after >= 0; waiting; {
 		d.mu.Lock()
 		news, changed := d.rev > after || d.down, d.changed
 		d.mu.Unlock()
