--- /dev/null
+++ b/internal/serve/block_test.go
@@ -0,0 +1,138 @@
+package serve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/standin"
+)
+
+// blockRig is one block node that the broker's list names, and a connection to the broker.
+func blockRig(t *testing.T, hook func(redcon.Conn, redcon.Command) bool) (*standin.Block, net.Conn, *bufio.Reader, func()) {
+	t.Helper()
+	r := newRig(t)
+	b := standin.NewBlock()
+	b.SetHook(hook)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go b.Serve(ln)
+	r.disc.Set(discovery.Target{UID: "s-0", Endpoint: ln.Addr().String(), AZ: "room", PodGroup: 0, State: "up"})
+	base, stop := r.broker(`,"listen":"127.0.0.1:0","object":null`)
+	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return b, c, bufio.NewReader(c), stop
+}
+
+func command(name, class, id string, body ...string) string {
+	w := append([]string{name, "7f3a9c21e0b4d655", id,
+		"c=" + class + ",t=basis,d=20000,volume=00000003b4d60021,units=1,shard=0,hosts=1"}, body...)
+	out := fmt.Sprintf("*%d\r\n", len(w))
+	for _, s := range w {
+		out += fmt.Sprintf("$%d\r\n%s\r\n", len(s), s)
+	}
+	return out
+}
+
+func answerOf(t *testing.T, c net.Conn, in *bufio.Reader, cmd string, lines int) (out string) {
+	t.Helper()
+	io.WriteString(c, cmd)
+	for range lines {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatalf("got %q: %v", out+line, err)
+		}
+		out += line
+	}
+	return out
+}
+
+func TestBlocksAreServed(t *testing.T) {
+	_, c, in, _ := blockRig(t, nil)
+	if got := answerOf(t, c, in, command("BLK.WRITE", "object-complete", "w1", "hello"), 2); got != "$5\r\nhello\r\n" {
+		t.Errorf("write: %q", got)
+	}
+	if got := answerOf(t, c, in, command("BLK.READ", "object-read", "r1"), 2); got != "$5\r\nhello\r\n" {
+		t.Errorf("read: %q", got)
+	}
+}
+
+// A node breaks off after it got a request: what may run twice goes again, what must not fails and never does.
+func TestBrokenNodeConnections(t *testing.T) {
+	var broke atomic.Int32
+	b, c, in, _ := blockRig(t, func(rc redcon.Conn, cmd redcon.Command) bool {
+		if broke.Add(1)%2 == 0 {
+			return false
+		}
+		rc.Close()
+		return true
+	})
+	if got := answerOf(t, c, in, command("BLK.READ", "object-read", "safe"), 2); got != "$0\r\n\r\n" {
+		t.Errorf("safe: %q", got)
+	}
+	if got := answerOf(t, c, in, command("BLK.WRITE", "object-complete", "unsafe", "x"), 1); got != "-ERR failed\r\n" {
+		t.Errorf("unsafe: %q", got)
+	}
+	seen := map[string]int{}
+	for _, s := range b.Seen() {
+		seen[s]++
+	}
+	if seen["BLK.READ safe"] != 2 || seen["BLK.WRITE unsafe"] != 1 {
+		t.Errorf("the node saw %v", seen)
+	}
+}
+
+// Turned away, unsafe work never ran: it goes again.
+func TestTurnedAwayWorkGoesAgain(t *testing.T) {
+	var n atomic.Int32
+	_, c, in, _ := blockRig(t, func(rc redcon.Conn, cmd redcon.Command) bool {
+		if n.Add(1) > 1 {
+			return false
+		}
+		rc.WriteError("BUSY")
+		return true
+	})
+	if got := answerOf(t, c, in, command("BLK.WRITE", "object-complete", "w", "x"), 2); got != "$1\r\nx\r\n" {
+		t.Errorf("got %q", got)
+	}
+}
+
+// Told to stop, a broker answers what it has taken before it ends.
+func TestStopAnswersWhatWasTaken(t *testing.T) {
+	got, answer := make(chan struct{}), make(chan struct{})
+	_, c, in, stop := blockRig(t, func(rc redcon.Conn, cmd redcon.Command) bool {
+		close(got)
+		<-answer
+		return false
+	})
+	io.WriteString(c, command("BLK.WRITE", "object-complete", "w", "x"))
+	<-got
+	ended := make(chan struct{})
+	go func() {
+		stop()
+		close(ended)
+	}()
+	close(answer)
+	if got := answerOf(t, c, in, "", 2); got != "$1\r\nx\r\n" {
+		t.Errorf("got %q", got)
+	}
+	if rest, err := io.ReadAll(in); err != nil || len(rest) > 0 {
+		t.Errorf("then %q, %v", rest, err)
+	}
+	<-ended
+}
