Every refusal says when to come back

The operators want a client told when to come back rather than an answer held back. The site's settings have retry_after off, so the module gave no advice and every refusal was a bare -BUSY. The configuration now turns the module's own advice on for the real broker (the simulator's adapter is as it was).

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -157,6 +157,12 @@
 	if c.Policy, err = settings.Parse(string(in.Settings), c.Seed); err != nil {
 		return nil, err
 	}
+	// The settings say whether the simulator's clients get advice; the protocol's always may. A refusal goes out at
+	// once, so it should say when coming back is worth while.
+	c.Policy.Hints = true
+	if c.Policy.MaxHint == 0 {
+		c.Policy.MaxHint = 2 * time.Second
+	}
 	if _, err := policy.New(c.Policy); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -25,7 +25,7 @@
 	l := c.Limits
 	if c.Seed != 0x8c1f30d27a5be964 || l.Procs != 1 || l.Memory >= 192<<20 || l.Descriptors != 1024 ||
 		l.ClientConns+l.NodeConns >= 1024 || l.Connect != 100_000 || l.NodeIdle != 3_000_000 || l.NodeFresh >= l.NodeIdle ||
-		l.DrainTotal < 9_000_000 || c.Object.Shards != 2 || c.Object.UnitBytes != 1<<20 {
+		l.DrainTotal < 9_000_000 || !c.Policy.Hints || c.Policy.MaxHint <= 0 || c.Object.Shards != 2 || c.Object.UnitBytes != 1<<20 {
 		t.Errorf("%+v", c)
 	}
 }
