Both backends lend connections through one function; error answers have a write deadline too

node.Do and objectstore.connect held the same steps: what is left of the attempt's time, dialling, asking about the drain state before the first byte. They are pool.Lend now.

Checked and ruled out: that a write deadline set for one answer stays for the next on a kept HTTP connection. net/http clears it after each request; a test for it passed without a fix and was dropped.

--- a/internal/front/object/front.go
+++ b/internal/front/object/front.go
@@ -103,13 +103,14 @@
 		return
 	}
 	err := x.serve()
-	f.held.Add(-int64(cap(x.body)))
+	f.held.Add(-int64(len(x.body)))
 	if err == nil {
 		return
 	}
 	if x.began { // nothing more can be said; a cut connection tells the client that the body is not whole
 		panic(http.ErrAbortHandler)
 	}
+	x.rc.SetWriteDeadline(time.Now().Add(clock.Duration(x.lim.ClientWrite)))
 	writeFault(w, r, x.id, err)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,7 +5,6 @@
 	"context"
 	"strconv"
 	"strings"
-	"time"
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/core"
@@ -39,32 +38,13 @@
 // Do makes one attempt. A break before the last byte was written proves that nothing ran; after it nothing is
 // proven. Nothing is ever written twice.
 func (c *Client) Do(ctx context.Context, a core.Attempt[*Command]) ([]byte, core.Outcome) {
-	if ctx.Err() != nil || c.clock.Now() >= a.Deadline {
-		return nil, core.NotSent
+	conn, out := c.pool.Lend(ctx, a.Node.Addr, a.Unsafe, a.Deadline, a.Open)
+	if conn == nil {
+		return nil, out
 	}
-	dctx, cancel := context.WithTimeout(ctx, clock.Duration(a.Deadline-c.clock.Now()))
-	conn, err := c.pool.Get(dctx, a.Node.Addr, a.Unsafe)
-	cancel()
-	if err != nil {
-		if err == pool.ErrFull || ctx.Err() != nil {
-			return nil, core.NotSent // tells nothing of the node
-		}
-		return nil, core.NoConnection
-	}
-	left := a.Deadline - c.clock.Now()
-	if !a.Open() || left <= 0 {
-		c.pool.Put(conn)
-		return nil, core.NotSent
-	}
-	// A client that leaves ends the attempt: the connection's time is up at once.
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	stop := conn.EndWith(ctx)
 	defer stop()
-	conn.SetDeadline(time.Now().Add(clock.Duration(left)))
-	if ctx.Err() != nil { // before the line above: its deadline would be overwritten
-		c.pool.Drop(conn)
-		return nil, core.NotSent
-	}
-	msg := a.Work.encode(left / 1000)
+	msg := a.Work.encode((a.Deadline - c.clock.Now()) / 1000)
 	if n, err := conn.Write(msg); err != nil || n < len(msg) {
 		c.pool.Drop(conn)
 		c.pool.Quiet(a.Node.Addr)
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -31,11 +31,11 @@
 
 // Do makes one attempt: one exchange, written once.
 func (c *Client) Do(ctx context.Context, a core.Attempt[*Call]) (*Result, core.Outcome) {
-	conn, out := c.connect(ctx, a)
+	conn, out := c.pool.Lend(ctx, a.Node.Objects, a.Unsafe, a.Deadline, a.Open)
 	if conn == nil {
 		return nil, out
 	}
-	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	stop := conn.EndWith(ctx)
 	defer stop()
 	method, target, h, body := a.Work.request()
 	msg := encode(a.Node.Objects, method, target, h, body)
@@ -67,29 +67,6 @@
 	return res, core.ConnectionLost
 }
 
-// connect lends a connection whose deadline is the attempt's, or says why there is none. Nothing was written.
-func (c *Client) connect(ctx context.Context, a core.Attempt[*Call]) (*pool.Conn, core.Outcome) {
-	left := a.Deadline - c.clock.Now()
-	if ctx.Err() != nil || left <= 0 {
-		return nil, core.NotSent
-	}
-	dctx, cancel := context.WithTimeout(ctx, clock.Duration(left))
-	defer cancel()
-	conn, err := c.pool.Get(dctx, a.Node.Objects, a.Unsafe)
-	if err != nil {
-		if errors.Is(err, pool.ErrFull) || ctx.Err() != nil {
-			return nil, core.NotSent
-		}
-		return nil, core.NoConnection
-	}
-	if left = a.Deadline - c.clock.Now(); !a.Open() || left <= 0 {
-		c.pool.Put(conn)
-		return nil, core.NotSent
-	}
-	conn.SetDeadline(time.Now().Add(clock.Duration(left)))
-	return conn, 0
-}
-
 // errVersion says that a resent read met another version of the object.
 var errVersion = errors.New("objectstore: the object changed between two attempts")
 
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
 	"poppyarch/internal/limits"
 )
 
@@ -98,6 +99,37 @@
 	return &Conn{Conn: conn, R: bufio.NewReaderSize(in, 4096), in: in, addr: addr}, nil
 }
 
+// Lend gets a connection for one attempt, whose deadline becomes the connection's, or names the outcome where there
+// is none. open is asked once the connection is up: its node may have begun to drain meanwhile, and nothing new may
+// go there. Nothing has been written in any case.
+func (p *Pool) Lend(ctx context.Context, addr string, fresh bool, deadline int64, open func() bool) (*Conn, core.Outcome) {
+	left := deadline - p.clock.Now()
+	if ctx.Err() != nil || left <= 0 {
+		return nil, core.NotSent
+	}
+	dialling, cancel := context.WithTimeout(ctx, clock.Duration(left))
+	defer cancel()
+	c, err := p.Get(dialling, addr, fresh)
+	if err != nil {
+		if errors.Is(err, ErrFull) || ctx.Err() != nil {
+			return nil, core.NotSent // tells nothing of the node
+		}
+		return nil, core.NoConnection
+	}
+	if left = deadline - p.clock.Now(); !open() || left <= 0 {
+		p.Put(c)
+		return nil, core.NotSent
+	}
+	c.SetDeadline(time.Now().Add(clock.Duration(left)))
+	return c, core.Served
+}
+
+// EndWith ends the attempt on c when ctx is done, as when its client leaves: the connection's time is up at once.
+// stop ends that and reports whether it did so in time. Call it after Lend, whose deadline it must not precede.
+func (c *Conn) EndWith(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+}
+
 // take removes an idle connection, the last used first.
 func (p *Pool) take(addr string, fresh bool) *Conn {
 	now := p.clock.Now()
