A drain serves clients that have only just come before it closes them

Front.Drain (front.go) woke every client that was owed nothing, also one accepted a moment ago whose first command was still on its way. The protocol has such a client come once more; closed a second time within the 0.5 s, its request would be lost. A connection that has carried nothing is now left until the listener closes.

--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -63,6 +63,7 @@
 	slots chan *slot // answers owed, in order
 	since atomic.Int64
 	owed  atomic.Int64
+	used  atomic.Bool // it has carried a command
 }
 
 // slot is the place of one command's answer in the order.
@@ -223,6 +224,7 @@
 // take starts one command. It reports false where the connection ends behind it.
 func (w *wrapped) take(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) bool {
 	f := w.front
+	w.used.Store(true)
 	switch strings.ToUpper(string(cmd.Args[0])) {
 	case "PING":
 		if len(cmd.Args) > 1 {
@@ -336,7 +338,9 @@
 		f.mu.Lock()
 		n := len(f.conns)
 		for c := range f.conns {
-			if c.owed.Load() == 0 {
+			// A client that has only just come is about to ask: closed now, it would come once more and, closed
+			// again, give up. It is served as long as new ones are taken.
+			if c.owed.Load() == 0 && (c.used.Load() || f.shut.Load()) {
 				c.nudge()
 			}
 		}
