--- a/cmd/poppyarch/serve.go
+++ b/cmd/poppyarch/serve.go
@@ -2,18 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
-	"poppyarch/internal/config"
 	"poppyarch/internal/serve"
 )
 
@@ -21,20 +17,12 @@
 	return &cobra.Command{
 		Use: "serve", Short: "Run one broker in the foreground, set up by LB_CONFIG", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cfg, err := config.Load(os.Getenv)
-			if err != nil {
+			err := serve.Process(cmd.Context(), os.Getenv, listen, os.Stderr)
+			var faulty *serve.ConfigError
+			if errors.As(err, &faulty) {
 				return &exit{exitUsage, err}
 			}
-			runtime.GOMAXPROCS(cfg.Limits.Procs)
-			debug.SetMemoryLimit(cfg.Limits.Memory)
-			log, err := logger(cfg.LogLevel)
-			if err != nil {
-				return err
-			}
-			log = log.With("broker", cfg.Name)
-			ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
-			defer stop()
-			return serve.Run(ctx, cfg, listen, log)
+			return err
 		},
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"time"
 
@@ -31,6 +32,9 @@
 	Limits    limits.Limits
 	Object    *Object // nil: the object front is off
 	LogLevel  string
+
+	fileDiscovery string            // as the file has it, whatever LB_DISCOVERY says
+	keys          map[string]string // the file's text by key
 }
 
 // Object sets up the object front.
@@ -103,12 +107,61 @@
 	return cfg, nil
 }
 
+// Reload reads the configuration again for a broker that runs with c. A running broker takes up discovery and log:
+// the result is c with these two. restart names the other keys that have changed and wait for the next start; seed
+// and known are for a start only and never named. A faulty file is an error, and c stays as it is.
+//
+// LB_DISCOVERY stands over the file at the start. A file that names another address than it did then, or at the last
+// reload, is news that the environment cannot know of, so it wins.
+func (c *Config) Reload(getenv func(string) string) (next *Config, restart []string, err error) {
+	file, err := Load(getenv)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, from := range []map[string]string{c.keys, file.keys} {
+		for key := range from {
+			switch key {
+			case "discovery", "log", "seed", "known":
+			default:
+				if c.keys[key] != file.keys[key] && !slices.Contains(restart, key) {
+					restart = append(restart, key)
+				}
+			}
+		}
+	}
+	slices.Sort(restart)
+	now := *c
+	now.LogLevel = file.LogLevel
+	if f := file.fileDiscovery; f != "" && f != c.fileDiscovery {
+		now.Discovery, now.fileDiscovery = f, f
+	}
+	return &now, restart, nil
+}
+
+// keys is the text of each key of a JSON object, in one form whatever its spaces and the order of its members.
+func keys(text []byte) (map[string]string, error) {
+	var doc map[string]any
+	if err := json.Unmarshal(text, &doc); err != nil {
+		return nil, named(err)
+	}
+	out := map[string]string{}
+	for key, v := range doc {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return nil, err
+		}
+		out[key] = string(b)
+	}
+	return out, nil
+}
+
 // Parse checks the text of a configuration file and fills in defaults.
 func Parse(text []byte, getenv func(string) string) (*Config, error) {
 	var in file
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, named(err)
 	}
+	fileDiscovery := in.Discovery
 	for key, to := range map[string]*string{
 		"LB_NAME": &in.Name, "LB_LISTEN": &in.Listen, "LB_DISCOVERY": &in.Discovery,
 	} {
@@ -117,7 +170,11 @@
 		}
 	}
 	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object,
-		LogLevel: in.Log}
+		LogLevel: in.Log, fileDiscovery: fileDiscovery}
+	var err error
+	if c.keys, err = keys(text); err != nil {
+		return nil, err
+	}
 	if c.Name == "" {
 		c.Name = "broker"
 	}
@@ -135,6 +192,11 @@
 			return nil, fmt.Errorf("%s: %w", key, err)
 		}
 	}
+	if v := c.fileDiscovery; v != "" { // a reload may turn to it, whatever LB_DISCOVERY said at the start
+		if err := address(v); err != nil {
+			return nil, fmt.Errorf("discovery: %w", err)
+		}
+	}
 	switch c.LogLevel {
 	case "":
 		c.LogLevel = "info"
@@ -153,7 +215,6 @@
 	if len(in.Settings) == 0 {
 		return nil, errors.New("settings: missing")
 	}
-	var err error
 	if c.Policy, err = settings.Parse(string(in.Settings), c.Seed); err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"poppyarch/internal/clock"
@@ -84,7 +85,11 @@
 
 // Client talks to discovery.
 type Client struct {
-	base  string
+	mu    sync.Mutex
+	addr  string
+	cut   context.CancelFunc // ends the watch at hand
+	moved chan struct{}      // addr has changed; holds one
+
 	zones []string
 	rev   int64
 	http  *http.Client
@@ -101,7 +106,7 @@
 func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
 	log *slog.Logger) *Client {
 	return &Client{
-		base: "http://" + addr + "/catalog/members", zones: zones, rev: rev, table: table, f: f, lim: lim, log: log,
+		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, table: table, f: f, lim: lim, log: log,
 		http: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
 				IdleConnTimeout: clock.Duration(lim.NodeIdle)},
@@ -110,20 +115,53 @@
 	}
 }
 
-// Run watches whenever the module wants it, until ctx is done. The module itself decides how long to wait after
-// a failure, so a dead discovery is not hammered and the old list stays in force.
+// Move turns to another address at once, also in the middle of a call: whoever moved discovery counts the broker as
+// told soon after, whether it has asked there or not. The old list stays in force until the new one is there.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr == c.addr {
+		return
+	}
+	c.addr = addr
+	c.cut()
+	select {
+	case c.moved <- struct{}{}:
+	default:
+	}
+}
+
+// Run watches whenever the module wants it or the address has changed, until ctx is done. The module itself decides
+// how long to wait after a failure, so a dead discovery is not hammered and the old list stays in force.
 func (c *Client) Run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
+	at := ""
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-c.f.WatchWanted():
+		case <-c.moved:
+		}
+		c.mu.Lock()
+		on, cut := context.WithCancel(ctx)
+		c.cut = cut
+		if at != "" && at != c.addr { // versions of one discovery mean nothing to another
+			c.rev = NoList
+			c.http.CloseIdleConnections()
 		}
-		err := c.watch(ctx)
+		at = c.addr
+		c.mu.Unlock()
+		err := c.watch(on, "http://"+at+"/catalog/members")
+		moved := on.Err() != nil
+		cut()
 		if ctx.Err() != nil {
 			return
 		}
+		if moved {
+			c.log.Info("discovery: moved", "from", at)
+			continue // to the note in c.moved
+		}
 		c.log.Warn("discovery: watch ended", "err", err)
 		c.f.List(nil, false)
 	}
@@ -131,14 +169,14 @@
 
 // watch asks again at once after each answer, so that the watch goes on, and returns the first error. Its first
 // call reads the whole list where none is known.
-func (c *Client) watch(ctx context.Context) error {
+func (c *Client) watch(ctx context.Context, base string) error {
 	for {
 		asked := time.Now()
-		l, err := c.call(ctx, c.rev)
+		l, err := c.call(ctx, base, c.rev)
 		if err == nil && l.Rev < c.rev {
 			// Discovery has lost its history: only a whole list says what is left.
 			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
-			l, err = c.call(ctx, NoList)
+			l, err = c.call(ctx, base, NoList)
 		}
 		if err != nil {
 			return err
@@ -170,7 +208,7 @@
 //
 // Version 0 must not count as no list: discovery starts there, and a client that took it so read the whole list
 // over and over, hundreds of times a second, until discovery answered all brokers with 503.
-func (c *Client) call(ctx context.Context, rev int64) (*List, error) {
+func (c *Client) call(ctx context.Context, base string, rev int64) (*List, error) {
 	wait, q := int64(0), url.Values{}
 	if rev != NoList {
 		wait = c.lim.ListWait
@@ -179,7 +217,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+c.lim.ListGrace))
 	defer cancel()
-	at := c.base
+	at := base
 	if len(q) > 0 {
 		at += "?" + q.Encode()
 	}
--- /dev/null
+++ b/internal/serve/process.go
@@ -0,0 +1,74 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"poppyarch/internal/config"
+)
+
+// ConfigError is a configuration that a broker cannot start from.
+type ConfigError struct{ Err error }
+
+func (e *ConfigError) Error() string { return e.Err.Error() }
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// Process is a broker process: it sets the runtime up as the configuration says, serves, drains on SIGTERM and
+// SIGINT, and reads the configuration anew on SIGHUP. It logs to out.
+func Process(ctx context.Context, getenv func(string) string, listen Listen, out io.Writer) error {
+	// First of all, since a SIGHUP that nobody handles ends the process. It is handled until the process ends, in a
+	// drain as well; two in quick succession are one, read after the second.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	cfg, err := config.Load(getenv)
+	if err != nil {
+		return &ConfigError{err}
+	}
+	runtime.GOMAXPROCS(cfg.Limits.Procs)
+	debug.SetMemoryLimit(cfg.Limits.Memory)
+	var level slog.LevelVar
+	if err := level.UnmarshalText([]byte(cfg.LogLevel)); err != nil {
+		return &ConfigError{fmt.Errorf("log: %w", err)}
+	}
+	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: &level})).With("broker", cfg.Name)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return Run(ctx, cfg, listen, &Reload{Hangup: hup, Getenv: getenv, Level: &level}, log)
+}
+
+// Reload is how a running broker takes up a new configuration.
+type Reload struct {
+	Hangup <-chan os.Signal
+	Getenv func(string) string
+	Level  *slog.LevelVar
+}
+
+// run reads the configuration at each hangup until ctx is done. A faulty one changes nothing.
+func (r *Reload) run(ctx context.Context, cfg *config.Config, move func(string), log *slog.Logger) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.Hangup:
+		}
+		next, restart, err := cfg.Reload(r.Getenv)
+		if err != nil {
+			log.Error("reload: faulty configuration, nothing changed", "err", err)
+			continue
+		}
+		cfg = next
+		move(cfg.Discovery)
+		r.Level.UnmarshalText([]byte(cfg.LogLevel)) // checked when it was read
+		log.Info("reload: configuration read", "discovery", cfg.Discovery, "log", cfg.LogLevel)
+		if len(restart) > 0 {
+			log.Warn("reload: other keys have changed, which take effect at the next start", "keys", restart)
+		}
+	}
+}
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -29,12 +29,11 @@
 // TestMain lets the test binary be a broker process of its own, which a test can kill.
 func TestMain(m *testing.M) {
 	if os.Getenv("POPPYARCH_TEST_SERVE") != "" {
-		cfg, err := config.Load(os.Getenv)
-		if err == nil {
-			err = Run(context.Background(), cfg, listenTCP, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		if err := Process(context.Background(), os.Getenv, listenTCP, os.Stderr); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
 		}
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		os.Exit(0)
 	}
 	os.Exit(m.Run())
 }
@@ -122,7 +121,7 @@
 				addr <- ln.Addr().String()
 			}
 			return ln, err
-		}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		}, nil, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	}()
 	stopped := false
 	stop = func() {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -32,8 +32,8 @@
 }
 
 // Run serves until ctx is done, then drains: new connections are taken a while longer, idle ones are closed, all
-// that was taken is answered.
-func Run(ctx context.Context, cfg *config.Config, listen Listen, log *slog.Logger) error {
+// that was taken is answered. reload may be nil.
+func Run(ctx context.Context, cfg *config.Config, listen Listen, reload *Reload, log *slog.Logger) error {
 	lim := &cfg.Limits
 	c := clock.New()
 	facade, err := policy.NewFacade(cfg.Policy, func(text string) { log.Info("module: " + text) })
@@ -61,6 +61,9 @@
 	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
 	behind.Go(func() { core.Loop(back, facade, c) })
 	behind.Go(func() { watch.Run(back) })
+	if reload != nil {
+		behind.Go(func() { reload.run(back, cfg, watch.Move, log) })
+	}
 
 	gate := core.NewGate(lim.MaxOpen)
 	fronts := map[string]front{}
