SIGHUP reads the configuration anew and moves discovery at once

The discovery client had one address for life.

Now: internal/serve/process.go handles the signal from before the configuration is read until the process ends, in a drain as well. config.Reload reads and checks the file; a faulty one is logged and changes nothing. discovery.Move cuts the open watch and reads the whole list at the new address; the old list stays in force until then. LB_DISCOVERY gives way once the file names another address. The log's level is taken up too; what waits for the next start is named.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -45,6 +45,50 @@
 	}
 }
 
+// A reload takes up discovery and log, and names what waits for the next start. LB_DISCOVERY stands until the file
+// names another address than it did.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	env := map[string]string{"LB_CONFIG": path, "LB_DISCOVERY": "127.0.0.1:8"}
+	getenv := func(k string) string { return env[k] }
+	write := func(replace ...string) {
+		if err := os.WriteFile(path, []byte(strings.NewReplacer(replace...).Replace(good)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write()
+	c, err := Load(getenv)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		replace             []string
+		discovery, log, err string
+		restart             string
+	}{
+		{nil, "127.0.0.1:8", "info", "", ""},
+		{[]string{`"seed":"8c`, `"log":"debug","seed":"7c`, `"rev":3`, `"rev":4`, `"cores":1.0`, `"cores": 1`}, "127.0.0.1:8", "debug", "", ""},
+		{[]string{"127.0.0.1:2", "127.0.0.1:20", `"cores":1.0`, `"cores":2`, `"name":"n1"`, `"name":"n2"`}, "127.0.0.1:20", "info", "", "limits name"},
+		{[]string{"127.0.0.1:2", "nowhere"}, "", "", "discovery", ""},
+		{[]string{`"repeat":"fragile"`, `"repeat":"often"`}, "", "", "classes[1].repeat", ""},
+		{nil, "127.0.0.1:2", "info", "", ""},
+	} {
+		write(x.replace...)
+		next, restart, err := c.Reload(getenv)
+		if x.err != "" {
+			if err == nil || !strings.Contains(err.Error(), x.err) {
+				t.Errorf("%q: %v", x.replace, err)
+			}
+			continue
+		}
+		if err != nil || next.Discovery != x.discovery || next.LogLevel != x.log || strings.Join(restart, " ") != x.restart {
+			t.Errorf("%q: %v, %s, %s, restart %q", x.replace, err, next.Discovery, next.LogLevel, restart)
+			continue
+		}
+		c = next
+	}
+}
+
 // Every error names the faulty key.
 func TestErrorsNameTheKey(t *testing.T) {
 	for _, x := range []struct{ old, new, want string }{
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -27,6 +27,13 @@
 
 // watch runs a client against a handler and returns the table that it keeps.
 func watch(t *testing.T, h http.Handler, lim *limits.Limits) *core.Nodes {
+	t.Helper()
+	table, _ := client(t, h, lim)
+	return table
+}
+
+// client is watch for tests that need the client too.
+func client(t *testing.T, h http.Handler, lim *limits.Limits) (*core.Nodes, *discovery.Client) {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	f, err := policy.NewFacade(policy.Config{Ask: true, AskWithin: time.Second,
@@ -46,7 +53,37 @@
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
 	wait.Go(func() { core.Loop(ctx, f, clock.New()) })
 	wait.Go(func() { c.Run(ctx) })
-	return table
+	return table, c
+}
+
+// Moved in the middle of a watch that would wait a minute, the client reads the whole list at the new address at once,
+// whatever version the old one had, and what only the old one named is gone.
+func TestMovesAtOnce(t *testing.T) {
+	old, other := standin.NewDiscovery(), standin.NewDiscovery()
+	old.Set(target("a", "up"), target("b", "up"))
+	old.Set(target("a", "up"))
+	srv := httptest.NewServer(other)
+	t.Cleanup(srv.Close)
+	table, c := client(t, old, testLimits())
+	eventually(t, "a is up", state(table, "a")(policy.Ready))
+	eventually(t, "a watch", func() bool { return len(old.Calls()) > 1 })
+	other.Set(target("b", "draining"))
+	addr := strings.TrimPrefix(srv.URL, "http://")
+	c.Move(addr)
+	c.Move(addr) // no news
+	eventually(t, "b drains", state(table, "b")(policy.Draining))
+	if !state(table, "a")(policy.Gone)() {
+		t.Error("a is not gone")
+	}
+	other.Set(target("c", "up"))
+	eventually(t, "c is up", state(table, "c")(policy.Ready))
+	if n := len(old.Calls()); n != 2 {
+		t.Errorf("%d calls at the old address, want 2", n)
+	}
+	c.Move("127.0.0.1:1") // nobody there: the list stays, and the way back is open
+	c.Move(addr)
+	other.Set(target("c", "draining"))
+	eventually(t, "c drains", state(table, "c")(policy.Draining))
 }
 
 // eventually waits for what must come.
--- a/internal/serve/object_test.go
+++ b/internal/serve/object_test.go
@@ -192,11 +192,11 @@
 // completes once, however often the client asks.
 func TestUploadOutlivesItsBroker(t *testing.T) {
 	r := newRig(t)
-	base, kill := r.process()
+	base, first := r.process()
 	one, two, three := noise(70_000, 6), noise(80_000, 7), noise(900, 8)
 	id := r.upload(base, "/art/poster")
 	tags := []string{r.part(base, "/art/poster", id, 1, one), r.part(base, "/art/poster", id, 2, two)}
-	kill()
+	first.kill()
 	base, _ = r.process()
 	a := r.do("GET", base+"/art/poster?uploadId="+id, nil)
 	if a.status != 200 || bytes.Count(a.body, []byte("<Part>")) != 2 || !bytes.Contains(a.body, []byte("<UploadId>"+id+"<")) {
--- /dev/null
+++ b/internal/serve/reload_test.go
@@ -0,0 +1,129 @@
+package serve
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"poppyarch/internal/standin"
+)
+
+// eventually waits for what must come.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came: " + what)
+		}
+	}
+}
+
+// lines keeps what a process logs.
+type lines struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) count(s string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), s)
+}
+
+// find is the first group of the first match.
+func (l *lines) find(pattern string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if m := regexp.MustCompile(pattern).FindStringSubmatch(l.text.String()); m != nil {
+		return m[1]
+	}
+	return ""
+}
+
+// A SIGHUP that nobody handles ends the process. Handled, it turns the broker to the discovery that the file now names,
+// whatever LB_DISCOVERY said at the start; a faulty file changes nothing; and the same holds in a drain.
+func TestHangupReadsTheConfigurationAnew(t *testing.T) {
+	r := newRig(t)
+	other := standin.NewDiscovery()
+	otherNode, err := standin.Start(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(otherNode.Kill)
+	for i, l := range r.disc.List(-1).Targets {
+		l.Endpoint = r.nodes[1-i].Addr() // the other list has the stores the other way round
+		other.Set(l)
+	}
+	base, p := r.process("LB_DISCOVERY=" + r.discN.Addr())
+	eventually(t, "a watch at the first discovery", func() bool { return len(r.disc.Calls()) > 0 })
+	home := r.home(base, "/b/k", []byte("x"))
+	old := r.configText("")
+	hangup := func(text []byte, line string, times int) {
+		t.Helper()
+		tmp := filepath.Join(filepath.Dir(p.config), "new")
+		if err := os.WriteFile(tmp, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(tmp, p.config); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		eventually(t, line, func() bool { return p.log.count(line) >= times })
+	}
+	hangup([]byte(`{"discovery":`), "reload: faulty configuration", 1)
+	hangup(bytes.Replace(old, []byte(`"cores":1`), []byte(`"cores":"x"`), 1), "reload: faulty configuration", 2)
+	if n := len(other.Calls()); n != 0 {
+		t.Errorf("%d calls to a discovery that no configuration named", n)
+	}
+	moved := bytes.Replace(old, []byte(r.discN.Addr()), []byte(otherNode.Addr()), 1)
+	hangup(bytes.Replace(moved, []byte(`"name":"t1"`), []byte(`"name":"t1","log":"debug"`), 1), "reload: configuration read", 1)
+	eventually(t, "a list from the new discovery", func() bool { return len(other.Calls()) > 1 })
+	if p.log.count("discovery: node") == 0 {
+		t.Error("the new level of the log was not taken up")
+	}
+	r.list(0, 0) // from the old one, which has nothing to say any more
+	eventually(t, "the object at the other store", func() bool {
+		r.do("PUT", base+"/b/k", []byte("y"))
+		return r.stores[1-home].Get("/b/k") != nil
+	})
+	// Twice in a row, and with a key that waits for the next start.
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	hangup(bytes.Replace(moved, []byte(`"cores":1`), []byte(`"cores":2`), 1), "keys=[limits]", 1)
+
+	// In a drain, with a request open.
+	got, answer := make(chan struct{}), make(chan struct{})
+	for _, s := range r.stores {
+		s.SetHook(func(_ http.ResponseWriter, _ *http.Request, next func()) {
+			close(got)
+			<-answer
+			next()
+		})
+	}
+	done := make(chan int, 1)
+	go func() { done <- r.do("GET", base+"/b/k", nil).status }()
+	<-got
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	eventually(t, "a drain", func() bool { return p.log.count("draining") > 0 })
+	before := p.log.count("reload: configuration read")
+	hangup(old, "reload: configuration read", before+1)
+	close(answer)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("the open request got %d", status)
+	}
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,7 +12,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -145,40 +143,41 @@
 	}
 }
 
-// process runs a broker as a process of its own and returns how to kill it.
-func (r *rig) process() (base string, kill func()) {
+// child is a broker as a process of its own.
+type child struct {
+	cmd    *exec.Cmd
+	config string // its configuration file
+	log    *lines
+	killed bool
+}
+
+func (c *child) kill() {
+	if !c.killed {
+		c.killed = true
+		c.cmd.Process.Kill()
+		c.cmd.Wait()
+	}
+}
+
+// process starts a broker as a process of its own.
+func (r *rig) process(env ...string) (base string, c *child) {
 	r.t.Helper()
 	path := filepath.Join(r.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, r.configText(""), 0o600); err != nil {
 		r.t.Fatal(err)
 	}
-	cmd := exec.Command(os.Args[0])
-	cmd.Env = append(os.Environ(), "POPPYARCH_TEST_SERVE=1", "LB_CONFIG="+path)
-	out, err := cmd.StderrPipe()
-	if err != nil {
-		r.t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
+	c = &child{cmd: exec.Command(os.Args[0]), config: path, log: &lines{}}
+	c.cmd.Env = append(append(os.Environ(), "POPPYARCH_TEST_SERVE=1", "LB_CONFIG="+path), env...)
+	c.cmd.Stderr = c.log
+	if err := c.cmd.Start(); err != nil {
 		r.t.Fatal(err)
 	}
-	killed := false
-	kill = func() {
-		if !killed {
-			killed = true
-			cmd.Process.Kill()
-			cmd.Wait()
-		}
-	}
-	r.t.Cleanup(kill)
-	lines := bufio.NewScanner(out)
-	for lines.Scan() {
-		if m := regexp.MustCompile(`msg=serving addr=(\S+)`).FindStringSubmatch(lines.Text()); m != nil {
-			go io.Copy(io.Discard, out)
-			return "http://" + m[1], kill
-		}
-	}
-	r.t.Fatal("the broker process did not start")
-	return "", nil
+	r.t.Cleanup(c.kill)
+	eventually(r.t, "the broker process serves", func() bool {
+		base = c.log.find(`msg=serving broker=\S+ addr=(\S+)`)
+		return base != ""
+	})
+	return "http://" + base, c
 }
 
 // answer is what a client got.
