Drains serve on, and silent, half-sent and malformed clients end at the front

Read in the code, then shown by tests that fail without the change: a client that says nothing was kept for good; one that stopped in the middle of a command held its goroutine and its place for good, and room() picked it over and over while honest clients waited; empty ids, ids of other clients' open requests and shards that do not exist went to the nodes; answers that a client is slow to take were not counted as held bytes.

Now: the block front serves on after SIGTERM until 0.25 s before all must be answered, 0.15 s ahead of the earliest SIGKILL; what it takes meanwhile is due by then. Every read has a limit (limits.Client*): nothing for 2.5 s, a stop of 1.5 s within a command, a command of more than the longest deadline, idle for 10 s, or 2 s where descriptors run short or a large buffer is held. Bytes that are here are read before any close, and nobody who is owed an answer is cut. At the bound clients with an error or without a word go first. Ids are tokens and open once; words, numbers and shards are checked against the settings. The gate and the bytes bound say when to come back.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,6 +29,7 @@
 	Known     discovery.List
 	Policy    policy.Config
 	Zones     []string
+	Shards    int // 0: not told
 	Limits    limits.Limits
 	Object    *Object // nil: the object front is off
 	LogLevel  string
@@ -231,7 +232,7 @@
 	if err := json.Unmarshal(in.Settings, &ex); err != nil {
 		return nil, fmt.Errorf("settings: %w", named(err))
 	}
-	c.Zones = ex.Zones
+	c.Zones, c.Shards = ex.Zones, ex.Specifics.Shards
 	if _, err := c.Known.Nodes(c.Zones); err != nil {
 		return nil, fmt.Errorf("known.%w", err)
 	}
@@ -274,7 +275,9 @@
 		Procs: max(int(m.Cores), 1), Memory: memory * 6 / 10, Descriptors: m.Sockets,
 		ClientConns: free * 2 / 3, NodeConns: free / 3,
 		MaxOpen: 4096, MaxBodies: memory / 6, MaxPipeline: 128, MaxMessage: 72 << 10, MaxArgs: 16, MaxValue: 64 << 10,
-		ClientWrite: 5 * s, AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
+		MaxID: 64, MaxParams: 1024, ClientWrite: 5 * s, ClientFirst: 2*s + 500*ms, ClientStall: 1*s + 500*ms,
+		ClientLull: 2 * s, ClientIdle: 10 * s, BusyHint: 200 * ms,
+		AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
 		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, NodeRest: 2 * ms, AnswerRest: 150 * ms, IdlePerNode: 16,
 		ListWait: 10 * s, ListGrace: 2 * s, ListPause: 100 * ms, MaxList: 4 << 20, MaxListRows: 10000,
 		MaxObject: 16 << 20, MaxHead: 16 << 10, ObjectBuffer: 64 << 10, MaxParts: 10000, ObjectIdle: 60 * s,
@@ -290,9 +293,15 @@
 	if v := ex.Limits.MaxOpen; v > 0 {
 		l.MaxOpen = min(l.MaxOpen, v)
 	}
+	longest := int64(0)
 	for _, k := range c.Policy.Classes {
-		l.DrainTotal = max(l.DrainTotal, k.Deadline.Microseconds()+500*ms)
+		longest = max(longest, k.Deadline.Microseconds())
 	}
+	l.ClientSend = longest // by then its client has given up
+	l.DrainTotal = max(l.DrainTotal, longest+500*ms)
+	// The platform kills no sooner than the longest deadline, counted as 3 s where it is longer, and 0.7 s after SIGTERM.
+	l.DrainAnswer = min(longest, 3*s) + 700*ms - 150*ms
+	l.DrainServe = max(l.DrainAnswer-250*ms, l.DrainAccept)
 	if len(in.Tuning) > 0 {
 		d := json.NewDecoder(bytes.NewReader(in.Tuning))
 		d.DisallowUnknownFields()
@@ -303,6 +312,8 @@
 	for key, v := range map[string]int64{
 		"procs": int64(l.Procs), "client_conns": int64(l.ClientConns), "node_conns": int64(l.NodeConns),
 		"max_open": int64(l.MaxOpen), "max_message": int64(l.MaxMessage), "max_pipeline": int64(l.MaxPipeline),
+		"max_id": int64(l.MaxID), "max_params": int64(l.MaxParams), "client_first": l.ClientFirst,
+		"client_stall": l.ClientStall, "client_send": l.ClientSend, "client_lull": l.ClientLull, "client_idle": l.ClientIdle,
 		"max_args": int64(l.MaxArgs), "max_value": int64(l.MaxValue), "connect": l.Connect, "node_idle": l.NodeIdle, "answer_rest": l.AnswerRest,
 		"list_wait": l.ListWait, "list_grace": l.ListGrace, "client_write": l.ClientWrite,
 		"max_object": l.MaxObject, "object_buffer": int64(l.ObjectBuffer), "object_stall": l.ObjectStall,
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,7 +96,7 @@
 // the client has left and the answer reaches nobody.
 func (b *Broker[W, V]) Do(ctx context.Context, r Request[W]) Answer[V] {
 	if !b.open.Enter() {
-		return Answer[V]{Kind: Refusal} // the process is full: nothing ran
+		return Answer[V]{Kind: Refusal, Hint: b.lim.BusyHint} // the process is full: nothing ran
 	}
 	defer b.open.Leave()
 	last := r.Due - b.lim.AnswerMargin
--- a/internal/front/block/command.go
+++ b/internal/front/block/command.go
@@ -3,20 +3,24 @@
 import (
 	"bytes"
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 
 	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
 	"poppyarch/internal/node"
 	"poppyarch/policy"
 )
 
-// Names numbers the classes and plans as the settings name them.
+// Names is what the settings say of a command's words. Classes and plans are numbered as the settings name them.
 type Names struct {
-	Classes map[string]int
-	Plans   map[string]int
-	Unsafe  []bool // by class: it must never run twice
+	Classes  map[string]int
+	Plans    map[string]int
+	Unsafe   []bool  // by class: it must never run twice
+	Shards   int     // 0: not told
+	MaxUnits float64 // 0: not told
+
+	lim *limits.Limits
 }
 
 // parse turns the words of a command into a request. d counts from its sending, of which its arrival is the
@@ -31,9 +35,16 @@
 	if len(args) != want {
 		return r, fmt.Errorf("%s takes %d words, got %d", args[0], want, len(args))
 	}
+	// Whatever is wrong is told here: a node turns it away at the cost of an attempt, or closes the connection on it.
 	if !hex16(string(args[1])) {
 		return r, fmt.Errorf("piece is not 16 hex digits")
 	}
+	if !token(args[2], names.lim.MaxID) {
+		return r, fmt.Errorf("id is not 1 to %d letters, digits or any of -_.:", names.lim.MaxID)
+	}
+	if len(args[3]) > names.lim.MaxParams {
+		return r, fmt.Errorf("fields over %d bytes", names.lim.MaxParams)
+	}
 	c := &node.Command{Name: args[0], Piece: args[1], ID: args[2], HasBody: write}
 	if write {
 		c.Body = args[4]
@@ -42,7 +53,7 @@
 	seen := map[string]bool{}
 	for _, part := range strings.Split(string(args[3]), ",") {
 		name, value, ok := strings.Cut(part, "=")
-		if !ok || name == "" || seen[name] {
+		if !ok || name == "" || seen[name] || !printed(part) {
 			return r, fmt.Errorf("malformed or repeated field %q", clip(part))
 		}
 		seen[name] = true
@@ -72,18 +83,18 @@
 		r.Volume, known = value, hex16(value)
 	case "d":
 		var ms float64
-		ms, err = strconv.ParseFloat(value, 64)
+		ms, err = decimal(value)
 		known = ms > 0 && ms <= 1e8
 		r.Due = now + int64(ms*1000)
 	case "units":
-		r.Units, err = strconv.ParseFloat(value, 64)
-		known = r.Units > 0 && !math.IsInf(r.Units, 0)
+		r.Units, err = decimal(value)
+		known = r.Units > 0 && (names.MaxUnits <= 0 || r.Units <= names.MaxUnits)
 	case "shard":
 		r.Shard, err = strconv.Atoi(value)
-		known = r.Shard >= -1
+		known = r.Shard >= -1 && !strings.HasPrefix(value, "+") && (names.Shards <= 0 || r.Shard < names.Shards)
 	case "hosts":
 		r.Hosts, err = strconv.Atoi(value)
-		known = r.Hosts >= 0
+		known = r.Hosts >= 0 && !strings.HasPrefix(value, "+")
 	}
 	if err != nil || !known {
 		return fmt.Errorf("%s: cannot be %q", name, clip(value))
@@ -91,12 +102,42 @@
 	return nil
 }
 
+// decimal reads a plain number: digits, perhaps with a fraction. The forms that ParseFloat takes beside that are no
+// client's.
+func decimal(s string) (float64, error) {
+	if strings.Trim(s, "0123456789.") != "" || len(s) > 16 {
+		return 0, strconv.ErrSyntax
+	}
+	return strconv.ParseFloat(s, 64)
+}
+
+// token reports whether b can be an id.
+func token(b []byte, most int) bool {
+	for _, c := range b {
+		ok := c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || strings.IndexByte("-_.:", c) >= 0
+		if !ok {
+			return false
+		}
+	}
+	return len(b) > 0 && len(b) <= most
+}
+
+// printed reports whether s is visible ASCII.
+func printed(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 func hex16(s string) bool {
 	if len(s) != 16 {
 		return false
 	}
 	_, err := strconv.ParseUint(s, 16, 64)
-	return err == nil
+	return err == nil // it takes no sign
 }
 
 func clip(s string) string {
@@ -107,8 +148,8 @@
 }
 
 // NewNames numbers the names of a configuration.
-func NewNames(cfg *policy.Config) *Names {
-	n := &Names{Classes: map[string]int{}, Plans: map[string]int{}}
+func NewNames(cfg *policy.Config, shards int, lim *limits.Limits) *Names {
+	n := &Names{Classes: map[string]int{}, Plans: map[string]int{}, Shards: shards, MaxUnits: cfg.MaxUnits, lim: lim}
 	for i, c := range cfg.Classes {
 		n.Classes[c.Name] = i
 		n.Unsafe = append(n.Unsafe, c.Repeat == policy.Unsafe)
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,40 +40,29 @@
 	log    *slog.Logger
 	most   int // connections
 
-	held     atomic.Int64 // bytes of commands not answered
+	held     atomic.Int64 // bytes of commands and answers not sent
 	draining atomic.Bool
+	until    atomic.Int64 // in a drain: all is answered by then
 	mu       sync.Mutex
+	ln       net.Listener
 	conns    map[*client]struct{}
-	gone     chan struct{} // a client connection has ended; holds one
-	shut     atomic.Bool   // the listener is closed
-	drained  chan struct{} // closed when Drain is over
+	ids      map[string]struct{} // of requests that are not answered
+	gone     chan struct{}       // a client connection has ended; holds one
+	shut     atomic.Bool         // the listener is closed
+	drained  chan struct{}       // closed when Drain is over
 }
 
 // New returns a front for at most conns clients at once.
 func New(b Broker, names *Names, conns int, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Front {
 	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, conns: map[*client]struct{}{},
-		gone: make(chan struct{}, 1), drained: make(chan struct{})}
-}
-
-// client is one connection.
-type client struct {
-	front *Front
-	net   *guarded
-	slots chan *slot // answers owed, in order
-	since atomic.Int64
-	owed  atomic.Int64
-	used  atomic.Bool // it has carried a command
-}
-
-// slot is the place of one command's answer in the order.
-type slot struct {
-	answer chan []byte // holds one
-	last   bool        // the connection ends behind it
-	bytes  int64
+		ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
 }
 
 // Serve accepts clients until the listener is closed.
 func (f *Front) Serve(ln net.Listener) error {
+	f.mu.Lock()
+	f.ln = ln
+	f.mu.Unlock()
 	return redcon.Serve(&listener{Listener: ln, front: f}, f.handle, nil, f.closed)
 }
 
@@ -92,9 +80,9 @@
 		c, err := l.Listener.Accept()
 		if err == nil {
 			l.front.room() // only now that one is there: before, an idle client would make room for nobody
-			cl := &client{front: l.front, slots: make(chan *slot, l.front.lim.MaxPipeline)}
-			cl.net = &guarded{Conn: c, scan: scanner{lim: l.front.lim}}
-			cl.since.Store(l.front.clock.Now())
+			cl := &client{front: l.front, slots: make(chan *slot, l.front.lim.MaxPipeline), came: l.front.clock.Now()}
+			cl.net = &guarded{Conn: c, scan: scanner{lim: l.front.lim}, patient: cl, clock: l.front.clock}
+			cl.since.Store(cl.came)
 			l.front.mu.Lock()
 			l.front.conns[cl] = struct{}{}
 			l.front.mu.Unlock()
@@ -124,6 +112,32 @@
 func (w *wrapped) SetReadDeadline(t time.Time) error  { return w.net.SetReadDeadline(t) }
 func (w *wrapped) SetWriteDeadline(t time.Time) error { return w.net.SetWriteDeadline(t) }
 
+// crowded reports whether descriptors for clients run short.
+func (f *Front) crowded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns) > f.most/2
+}
+
+// rank orders clients by how little it costs to close them: those that got their error or never said a word, those that
+// have stopped within a command, those between two requests. All others stay, and so do those told to go a moment ago,
+// which would be waited for in vain where something has come from them meanwhile.
+func (c *client) rank(now int64) int {
+	switch {
+	case c.owed.Load() > 0, c.net.nudged.Load():
+		return stays
+	case c.last.Load() == 0, c.net.over.Load():
+		return 0
+	case c.stalled(now, true):
+		return 1
+	case c.mid.Load():
+		return stays
+	}
+	return 2
+}
+
+const stays = 3
+
 // room returns once another client fits.
 func (f *Front) room() {
 	for {
@@ -131,9 +145,10 @@
 		n := len(f.conns)
 		var idle *client
 		if n >= f.most {
+			now, least, since := f.clock.Now(), stays, int64(0)
 			for c := range f.conns {
-				if c.owed.Load() == 0 && (idle == nil || c.since.Load() < idle.since.Load()) {
-					idle = c
+				if r, q := c.rank(now), c.quietSince(); r < least || r == least && r < stays && q < since {
+					idle, least, since = c, r, q
 				}
 			}
 		}
@@ -142,20 +157,17 @@
 			return
 		}
 		if idle != nil {
-			idle.nudge()
+			idle.net.nudge()
 		} else {
 			f.log.Warn("clients: all connections busy", "conns", n)
 		}
 		select {
 		case <-f.gone:
-		case <-time.After(50 * time.Millisecond):
+		case <-time.After(5 * time.Millisecond):
 		}
 	}
 }
 
-// nudge wakes a client's reader, which then ends if it stands between commands and owes nothing.
-func (c *client) nudge() { c.net.SetReadDeadline(time.Unix(1, 0)) }
-
 // closed is redcon's word that it is done with a connection.
 func (f *Front) closed(rc redcon.Conn, _ error) {
 	w, ok := rc.NetConn().(*wrapped)
@@ -184,7 +196,7 @@
 		if !w.take(ctx, cmd, &requests) {
 			break
 		}
-		cmd, err = w.next(dc)
+		cmd, err = dc.ReadCommand()
 	}
 	switch {
 	case errors.Is(err, errProtocol):
@@ -203,28 +215,9 @@
 	requests.Wait()
 }
 
-// errIdle ends a connection that the broker no longer wants and that owes nothing.
-var errIdle = errors.New("idle")
-
-// next reads the next command. A nudge ends it only between commands, with no answer owed.
-func (w *wrapped) next(dc redcon.DetachedConn) (redcon.Command, error) {
-	for {
-		cmd, err := dc.ReadCommand()
-		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
-			return cmd, err
-		}
-		if w.owed.Load() == 0 {
-			return cmd, errIdle
-		}
-		// An answer is on its way: look again in a moment.
-		w.net.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
-	}
-}
-
 // take starts one command. It reports false where the connection ends behind it.
 func (w *wrapped) take(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) bool {
 	f := w.front
-	w.used.Store(true)
 	switch strings.ToUpper(string(cmd.Args[0])) {
 	case "PING":
 		if len(cmd.Args) > 1 {
@@ -241,16 +234,24 @@
 			w.put("-ERR "+printable(err.Error())+"\r\n", false)
 			break
 		}
-		size := int64(len(cmd.Raw))
-		if f.held.Add(size) > f.lim.MaxBodies {
-			f.held.Add(-size)
-			w.put("-BUSY\r\n", false) // nothing ran
+		if until := f.until.Load(); until > 0 {
+			r.Due = min(r.Due, until) // this process may be killed right after
+		}
+		s := &slot{id: string(r.Work.ID)}
+		if !f.open(s.id) {
+			w.put("-ERR id: a request of that id is open\r\n", false)
+			break
+		}
+		if !f.hold(s, int64(len(cmd.Raw))) {
+			f.close(s)
+			w.put(string(busy(f.lim.BusyHint)), false) // nothing ran
 			break
 		}
-		s := w.owe()
+		w.owe(s)
 		requests.Go(func() {
 			b := encode(f.broker.Do(ctx, r))
-			f.held.Add(-size)
+			s.bytes.Add(int64(len(b)))
+			f.held.Add(int64(len(b)))
 			s.answer <- b
 		})
 	default:
@@ -259,20 +260,37 @@
 	return true
 }
 
-// owe opens the next place in the order of answers. Where too many are owed it waits, and so does the client.
-func (c *client) owe() *slot {
-	s := &slot{answer: make(chan []byte, 1)}
-	c.owed.Add(1)
-	c.slots <- s
-	return s
+// open notes a request's id until its answer is sent, or reports that another request has it. Nodes answer by id: a
+// second request under an open one's would get the other's answer or spoil it.
+func (f *Front) open(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, ok := f.ids[id]; ok {
+		return false
+	}
+	f.ids[id] = struct{}{}
+	return true
 }
 
-// put answers at once, in order.
-func (c *client) put(text string, last bool) {
-	s := &slot{answer: make(chan []byte, 1), last: last}
-	s.answer <- []byte(text)
-	c.owed.Add(1)
-	c.slots <- s
+// hold counts a request's bytes until its answer is sent, or reports that there are too many. Answers that clients are
+// slow to take count too.
+func (f *Front) hold(s *slot, size int64) bool {
+	if f.held.Add(size) > f.lim.MaxBodies {
+		f.held.Add(-size)
+		return false
+	}
+	s.bytes.Store(size)
+	return true
+}
+
+// close forgets a request whose answer is sent.
+func (f *Front) close(s *slot) {
+	f.held.Add(-s.bytes.Load())
+	if s.id != "" {
+		f.mu.Lock()
+		delete(f.ids, s.id)
+		f.mu.Unlock()
+	}
 }
 
 // write sends the answers in the order of their commands. After a failed write the rest is not wanted.
@@ -288,9 +306,10 @@
 				w.net.Close()
 			}
 		}
+		w.front.close(s)
 		w.since.Store(w.front.clock.Now())
-		if w.owed.Add(-1) == 0 && w.front.draining.Load() {
-			w.nudge()
+		if w.owed.Add(-1) == 0 && w.front.shut.Load() {
+			w.net.nudge()
 		}
 		if s.last && !broken {
 			if c, ok := w.net.Conn.(interface{ CloseWrite() error }); ok {
@@ -308,10 +327,7 @@
 		b = append(strconv.AppendInt(append(b, '$'), int64(len(a.Value)), 10), "\r\n"...)
 		return append(append(b, a.Value...), "\r\n"...)
 	case core.Refusal:
-		if a.Hint > 0 {
-			return []byte("-BUSY " + strconv.FormatInt((a.Hint+999)/1000, 10) + "\r\n")
-		}
-		return []byte("-BUSY\r\n")
+		return busy(a.Hint)
 	}
 	if a.Overdue {
 		return []byte("-ERR out of time\r\n")
@@ -319,6 +335,14 @@
 	return []byte("-ERR failed\r\n")
 }
 
+// busy is a refusal that says when to come back, in whole milliseconds.
+func busy(hint int64) []byte {
+	if hint <= 0 {
+		return []byte("-BUSY\r\n")
+	}
+	return []byte("-BUSY " + strconv.FormatInt((hint+999)/1000, 10) + "\r\n")
+}
+
 // printable keeps a client's bytes from ending the line of an error.
 func printable(s string) string {
 	return strings.Map(func(r rune) rune {
@@ -329,19 +353,23 @@
 	}, s)
 }
 
-// Drain ends clients as soon as they are owed nothing, and returns when the listener is closed and none is left.
-// ctx bounds the wait.
+// Drain goes on serving for a while, since clients hear of a restart late and keep the connections they have: one that
+// closes them at once leaves them without a broker until the next is up. Then it closes the listener, ends clients as
+// soon as they are owed nothing, and returns when none is left. ctx bounds the wait.
 func (f *Front) Drain(ctx context.Context) error {
+	began := f.clock.Now()
+	f.until.Store(began + f.lim.DrainAnswer)
 	f.draining.Store(true)
 	defer close(f.drained)
 	for {
 		f.mu.Lock()
-		n := len(f.conns)
+		n, passed := len(f.conns), f.clock.Now()-began
+		if f.ln != nil && (passed >= f.lim.DrainServe || n == 0 && passed >= f.lim.DrainAccept) {
+			f.ln.Close()
+		}
 		for c := range f.conns {
-			// A client that has only just come is about to ask: closed now, it would come once more and, closed
-			// again, give up. It is served as long as new ones are taken.
-			if c.owed.Load() == 0 && (c.used.Load() || f.shut.Load()) {
-				c.nudge()
+			if f.shut.Load() && c.owed.Load() == 0 {
+				c.net.nudge()
 			}
 		}
 		f.mu.Unlock()
--- a/internal/front/block/front_test.go
+++ b/internal/front/block/front_test.go
@@ -22,8 +22,15 @@
 const patience = 30 * time.Second
 
 func testLimits() *limits.Limits {
-	return &limits.Limits{MaxMessage: 4096, MaxArgs: 8, MaxValue: 2048, MaxPipeline: 8, MaxBodies: 1 << 20,
-		ClientWrite: patience.Microseconds()}
+	const hour = 3_600_000_000
+	return &limits.Limits{MaxMessage: 4096, MaxArgs: 8, MaxValue: 2048, MaxPipeline: 8, MaxBodies: 1 << 20, MaxID: 16,
+		MaxParams: 200, ClientWrite: patience.Microseconds(), ClientFirst: hour, ClientStall: hour, ClientSend: hour,
+		ClientLull: hour, ClientIdle: hour, BusyHint: 150_000, DrainAnswer: hour}
+}
+
+func testNames(lim *limits.Limits) *Names {
+	return NewNames(&policy.Config{Classes: []policy.Class{{Name: "read"}, {Name: "new", Repeat: policy.Unsafe}},
+		Plans: []policy.Plan{{Name: "gold"}}, MaxUnits: 8}, 10, lim)
 }
 
 // broker answers each request when the test says so; its id is the key.
@@ -66,9 +73,7 @@
 	t.Helper()
 	b := &broker{waiting: map[string]chan core.Answer[[]byte]{}, came: make(chan core.Request[*node.Command], 64),
 		left: make(chan string, 64)}
-	names := NewNames(&policy.Config{Classes: []policy.Class{{Name: "read"}, {Name: "new", Repeat: policy.Unsafe}},
-		Plans: []policy.Plan{{Name: "gold"}}})
-	f := New(b, names, conns, clock.New(), lim, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	f := New(b, testNames(lim), conns, clock.New(), lim, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -89,6 +94,21 @@
 	return c, bufio.NewReader(c)
 }
 
+// until waits for what must come of the front.
+func (r *rig) until(what string, ok func() bool) {
+	r.t.Helper()
+	look := func() bool {
+		r.front.mu.Lock()
+		defer r.front.mu.Unlock()
+		return ok()
+	}
+	for end := time.Now().Add(patience); !look(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("never came: " + what)
+		}
+	}
+}
+
 func words(w ...string) string {
 	out := fmt.Sprintf("*%d\r\n", len(w))
 	for _, s := range w {
@@ -209,6 +229,15 @@
 		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "d=480,", "", 1)), "-ERR d is missing\r\n"},
 		{words("BLK.READ", "7f3a9c21e0b4d655", "id", params+",c=read"), "-ERR malformed or repeated field \"c=read\"\r\n"},
 		{words("PING", "hi"), "$2\r\nhi\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "", params), "-ERR id is not 1 to 16 letters, digits or any of -_.:\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "a b", params), "-ERR id is not 1 to 16 letters, digits or any of -_.:\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "12345678901234567", params), "-ERR id is not 1 to 16 letters, digits or any of -_.:\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", params+strings.Repeat(",", 200)), "-ERR fields over 200 bytes\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", params+",y=\x00"), "-ERR malformed or repeated field \"y=\\x00\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "shard=5", "shard=10", 1)), "-ERR shard: cannot be \"10\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "shard=5", "shard=", 1)), "-ERR shard: cannot be \"\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "units=2", "units=9", 1)), "-ERR units: cannot be \"9\"\r\n"},
+		{words("BLK.READ", "7f3a9c21e0b4d655", "id", strings.Replace(params, "d=480", "d=0x1p4", 1)), "-ERR d: cannot be \"0x1p4\"\r\n"},
 	} {
 		io.WriteString(c, x.in)
 		expectText(t, in, x.want)
@@ -225,11 +254,138 @@
 	<-r.broker.came
 	other, otherIn := r.dial()
 	io.WriteString(other, read("b"))
-	expectText(t, otherIn, "-BUSY\r\n")
+	expectText(t, otherIn, "-BUSY 150\r\n")
+	r.broker.ask("a") <- value("v")
+	expectText(t, in, "$1\r\nv\r\n")
+	r.until("nothing is held", func() bool { return r.front.held.Load() == 0 })
+}
+
+// The id of a request that is open belongs to that one alone; with the answer it is free again.
+func TestIDsOfOpenRequests(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	io.WriteString(c, read("a"))
+	<-r.broker.came
+	other, otherIn := r.dial()
+	io.WriteString(other, read("a")+read("b"))
+	if q := <-r.broker.came; string(q.Work.ID) != "b" {
+		t.Errorf("the broker got %s", q.Work.ID)
+	}
+	r.broker.ask("b") <- value("w")
+	expectText(t, otherIn, "-ERR id: a request of that id is open\r\n$1\r\nw\r\n")
+	r.broker.ask("a") <- value("v")
+	expectText(t, in, "$1\r\nv\r\n")
+	io.WriteString(other, words("PING")+read("a"))
+	<-r.broker.came
+	r.broker.ask("a") <- value("x")
+	expectText(t, otherIn, "+PONG\r\n$1\r\nx\r\n")
+	left, _ := r.dial() // one that leaves frees its id too
+	io.WriteString(left, read("c"))
+	<-r.broker.came
+	left.Close()
+	<-r.broker.left
+	r.until("no id is open", func() bool { return len(r.front.ids) == 0 })
+}
+
+// Nobody is waited for without end: who says nothing is closed, who stops within a command gets an error, who has been
+// idle for long is closed; who is owed an answer never is.
+func TestSilentClients(t *testing.T) {
+	const ms = 1000
+	for _, x := range []struct {
+		name, in, want string
+		change         func(*limits.Limits)
+	}{
+		{"says nothing", "", "", func(l *limits.Limits) { l.ClientFirst = 30 * ms }},
+		{"stops at once", "*", "-ERR Protocol error: the command did not come to its end in time\r\n",
+			func(l *limits.Limits) { l.ClientStall = 30 * ms }},
+		{"stops in the second command", words("PING") + read("a")[:50],
+			"+PONG\r\n-ERR Protocol error: the command did not come to its end in time\r\n", func(l *limits.Limits) { l.ClientStall = 30 * ms }},
+		{"never ends", read("a")[:50], "-ERR Protocol error: the command did not come to its end in time\r\n",
+			func(l *limits.Limits) { l.ClientSend = 30 * ms }},
+		{"is idle", words("PING"), "+PONG\r\n", func(l *limits.Limits) { l.ClientLull, l.ClientIdle = 20*ms, 40*ms }},
+		{"left a large buffer", words("PING", strings.Repeat("x", 5000)), "$5000\r\n" + strings.Repeat("x", 5000) + "\r\n",
+			func(l *limits.Limits) { l.ClientLull, l.MaxValue, l.MaxMessage = 20*ms, 8192, 8192 }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			lim := testLimits()
+			x.change(lim)
+			r := newRig(t, lim, 8)
+			c, in := r.dial()
+			io.WriteString(c, x.in)
+			expectText(t, in, x.want)
+			expectEnd(t, in)
+		})
+	}
+	lim := testLimits()
+	lim.ClientLull, lim.ClientIdle, lim.ClientStall, lim.ClientFirst = 5*ms, 5*ms, 5*ms, 5*ms
+	r := newRig(t, lim, 2)
+	c, in := r.dial()
+	io.WriteString(c, read("a"))
+	select {
+	case <-r.broker.came:
+	case <-t.Context().Done():
+	}
+	time.Sleep(100 * time.Millisecond) // a slow machine makes this longer, never shorter
 	r.broker.ask("a") <- value("v")
 	expectText(t, in, "$1\r\nv\r\n")
 }
 
+// A request that is here and was only not read yet is served, whoever wants its connection closed meanwhile.
+func TestWhatHasComeIsReadBeforeAClose(t *testing.T) {
+	r := newRig(t, testLimits(), 4)
+	c, in := r.dial()
+	io.WriteString(c, words("PING"))
+	expectText(t, in, "+PONG\r\n")
+	r.front.mu.Lock()
+	for cl := range r.front.conns {
+		cl.net.nudged.Store(true)
+		cl.net.Conn.SetReadDeadline(time.Unix(1, 0))
+		io.WriteString(c, read("a"))
+	}
+	r.front.mu.Unlock()
+	select {
+	case <-r.broker.came:
+		r.broker.ask("a") <- value("v")
+		expectText(t, in, "$1\r\nv\r\n")
+	case <-time.After(time.Second): // it may have been closed before the request was written: no verdict
+	}
+}
+
+// At the bound on connections those make room that have never said a word, then those that have stopped in the middle
+// of a command. An honest client does not wait behind either.
+func TestSilentClientsMakeRoomFirst(t *testing.T) {
+	r := newRig(t, testLimits(), 3)
+	used, usedIn := r.dial()
+	io.WriteString(used, words("PING"))
+	expectText(t, usedIn, "+PONG\r\n")
+	_, silentIn := r.dial()
+	half, halfIn := r.dial()
+	io.WriteString(half, "*1\r\n")
+	r.until("the half command is read", func() bool {
+		for cl := range r.front.conns {
+			if cl.mid.Load() {
+				cl.last.Add(-1_800_000_000) // as if it had stopped half an hour ago
+				return true
+			}
+		}
+		return false
+	})
+	for _, x := range []struct {
+		in   *bufio.Reader
+		text string
+	}{{silentIn, ""}, {halfIn, "-ERR Protocol error: the command did not come to its end in time\r\n"}} {
+		next, nextIn := r.dial()
+		io.WriteString(next, read("a"))
+		expectText(t, x.in, x.text)
+		expectEnd(t, x.in)
+		<-r.broker.came
+		r.broker.ask("a") <- value("v")
+		expectText(t, nextIn, "$1\r\nv\r\n")
+	}
+	io.WriteString(used, words("PING"))
+	expectText(t, usedIn, "+PONG\r\n")
+}
+
 // At the bound on connections the longest idle client makes room; a busy one never does.
 func TestIdleClientsMakeRoom(t *testing.T) {
 	r := newRig(t, testLimits(), 2)
@@ -247,25 +403,38 @@
 	expectText(t, busyIn, "$1\r\nv\r\n")
 }
 
-// A drain closes idle clients, takes new ones until the listener closes, answers what was taken, and then ends.
+// A drain goes on serving, new clients too, for as long as it may; then it closes the listener, ends clients that are
+// owed nothing, and answers what was taken. Requests that come meanwhile are due before the process may be killed.
 func TestDrain(t *testing.T) {
-	r := newRig(t, testLimits(), 8)
+	lim := testLimits()
+	lim.DrainServe, lim.DrainAnswer = 300_000, 100_000
+	r := newRig(t, lim, 8)
 	busy, busyIn := r.dial()
 	io.WriteString(busy, read("a"))
-	<-r.broker.came
+	if q := <-r.broker.came; q.Due-r.front.clock.Now() <= lim.DrainAnswer {
+		t.Error("its time is cut before the drain")
+	}
 	idle, idleIn := r.dial()
 	io.WriteString(idle, words("PING"))
 	expectText(t, idleIn, "+PONG\r\n")
 	done := make(chan error, 1)
 	go func() { done <- r.front.Drain(t.Context()) }()
-	expectEnd(t, idleIn)
+	r.until("it drains", r.front.draining.Load)
 	late, lateIn := r.dial()
 	io.WriteString(late, read("b"))
-	<-r.broker.came
-	r.ln.Close()
+	if q := <-r.broker.came; q.Due != r.front.until.Load() {
+		t.Errorf("due at %d, want %d", q.Due, r.front.until.Load())
+	}
 	r.broker.ask("b") <- value("w")
 	expectText(t, lateIn, "$1\r\nw\r\n")
+	io.WriteString(idle, words("PING"))
+	expectText(t, idleIn, "+PONG\r\n")
+	expectEnd(t, idleIn)
 	expectEnd(t, lateIn)
+	if c, err := net.Dial("tcp", r.ln.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is open")
+	}
 	select {
 	case err := <-done:
 		t.Fatalf("the drain is over with a request open: %v", err)
@@ -279,6 +448,16 @@
 	}
 }
 
+// Without clients nothing is waited for.
+func TestDrainWithoutClients(t *testing.T) {
+	r := newRig(t, testLimits(), 8)
+	r.front.lim.DrainServe = 3_600_000_000
+	r.until("it serves", func() bool { return r.front.ln != nil })
+	if err := r.front.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+}
+
 // FuzzScanner: however input is cut, the same bytes are sound; what passes is whole commands that redcon takes.
 func FuzzScanner(f *testing.F) {
 	f.Add([]byte(read("a")+words("PING")), uint8(1))
@@ -306,12 +485,15 @@
 
 // FuzzCommand: no words make the parser panic, and what it takes is in bounds.
 func FuzzCommand(f *testing.F) {
-	f.Add("BLK.READ", "7f3a9c21e0b4d655", params)
-	f.Add("BLK.WRITE", "7f3a9c21e0b4d655", "c=new,,=,d=1e99")
-	names := NewNames(&policy.Config{Classes: []policy.Class{{Name: "read"}}, Plans: []policy.Plan{{Name: "gold"}}})
-	f.Fuzz(func(t *testing.T, name, piece, list string) {
-		q, err := parse([][]byte{[]byte(name), []byte(piece), []byte("id"), []byte(list)}, names, 1000)
-		if err == nil && (q.Due <= 1000 || q.Units <= 0 || q.Class != 0 || q.Shard < -1) {
+	f.Add("BLK.READ", "7f3a9c21e0b4d655", "id", params)
+	f.Add("BLK.WRITE", "7f3a9c21e0b4d655", "", "c=new,,=,d=1e99")
+	f.Add("BLK.READ", "7f3a9c21e0b4d655", "id", "c=read,t=gold,d=,volume=00000003b4d60021,units=,shard=,hosts=")
+	lim := testLimits()
+	names := testNames(lim)
+	f.Fuzz(func(t *testing.T, name, piece, id, list string) {
+		q, err := parse([][]byte{[]byte(name), []byte(piece), []byte(id), []byte(list)}, names, 1000)
+		if err == nil && (q.Due <= 1000 || q.Units <= 0 || q.Units > 8 || q.Class < 0 || q.Class > 1 || q.Shard < -1 ||
+			q.Shard > 9 || id == "" || len(id) > lim.MaxID || len(list) > lim.MaxParams) {
 			t.Errorf("%+v", q.Job)
 		}
 	})
--- a/internal/front/block/guard.go
+++ b/internal/front/block/guard.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
+	"poppyarch/internal/clock"
 	"poppyarch/internal/limits"
+	"poppyarch/internal/socket"
 )
 
 // errProtocol is malformed or oversized input. Its text goes to the client, then the connection closes.
@@ -23,6 +26,7 @@
 	args  int // bulk strings of the command still to come
 	left  int // bytes of the bulk string still to come
 	size  int // of the command so far
+	most  int // the size of the longest
 }
 
 const (
@@ -84,6 +88,7 @@
 			case bodyEnd:
 				s.state = atBulk
 				if s.args--; s.args == 0 {
+					s.most = max(s.most, s.size)
 					s.state, s.size, whole = atCommand, 0, i+1
 				}
 			}
@@ -112,13 +117,27 @@
 	return len(b), whole, nil
 }
 
-// guarded is a client's connection as redcon sees it: only sound bytes come through, and malformed input ends
-// the stream behind the last whole command.
+// guarded is a client's connection as redcon sees it: only sound bytes come through, malformed input ends the stream
+// behind the last whole command, and nobody is waited for without end.
 type guarded struct {
 	net.Conn
-	scan   scanner
-	failed error
-	any    bool // a whole command came through, so answers are no longer redcon's
+	scan    scanner
+	failed  error
+	any     bool // a whole command came through, so answers are no longer redcon's
+	patient interface {
+		until(now int64) int64
+		late(now int64) error
+		heard(now int64, size int, mid bool)
+	}
+	clock  *clock.Clock
+	nudged atomic.Bool // woken to look whether it should end
+	over   atomic.Bool // its input is at an end, by its own fault
+}
+
+// nudge wakes the reader at once.
+func (g *guarded) nudge() {
+	g.nudged.Store(true)
+	g.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
 // Read hands on sound bytes; the error of malformed input comes with the read after the last of them.
@@ -126,29 +145,58 @@
 	if g.failed != nil {
 		return 0, g.failed
 	}
-	n, err := g.Conn.Read(b)
-	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !g.between() {
-		// Woken in the middle of a command, the rest of which may have arrived: that request counts as taken.
-		g.Conn.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
-		n, err = g.Conn.Read(b)
-	}
+	n, err := g.read(b)
 	if n == 0 {
+		if errors.Is(err, errProtocol) {
+			g.fail(err)
+		}
 		return 0, err
 	}
 	_, whole, bad := g.scan.scan(b[:n])
 	g.any = g.any || whole > 0
+	g.patient.heard(g.clock.Now(), max(g.scan.most, g.scan.size), g.scan.state != atCommand)
 	if bad == nil {
-		return n, err
-	}
-	g.failed = bad
-	if !g.any { // nothing is owed before it, and redcon would close without a word
-		g.Conn.Write([]byte("-ERR " + bad.Error() + "\r\n"))
+		return n, nil
 	}
+	g.fail(bad)
 	if whole > 0 {
 		return whole, nil
 	}
 	return 0, bad
 }
 
-// between reports whether the stream stands between two commands.
-func (g *guarded) between() bool { return g.scan.state == atCommand }
+// fail ends the stream.
+func (g *guarded) fail(err error) {
+	g.failed = err
+	g.over.Store(true)
+	if !g.any { // nothing is owed before it, and redcon would close without a word
+		g.Conn.Write([]byte("-ERR " + err.Error() + "\r\n"))
+	}
+}
+
+// read waits for bytes as long as its client may take. What has come and was only not read yet is read first: a request
+// whose last byte is here counts as taken, however late this process looks.
+func (g *guarded) read(b []byte) (int, error) {
+	for {
+		now := g.clock.Now()
+		// A moment at least: a deadline that has passed would end the read without a look at what there is.
+		g.Conn.SetReadDeadline(time.Now().Add(clock.Duration(max(g.patient.until(now)-now, look))))
+		if g.nudged.Load() {
+			g.Conn.SetReadDeadline(time.Unix(1, 0)) // the nudge came before and was just overwritten
+		}
+		n, err := g.Conn.Read(b)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return n, err
+		}
+		if socket.Peek(g.Conn) != socket.Quiet {
+			g.nudged.Store(false) // whoever still wants it to end will ask again
+			continue
+		}
+		if err := g.patient.late(g.clock.Now()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// look is the shortest wait for a client, in microseconds.
+const look = 10_000
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -18,9 +18,19 @@
 	MaxMessage   int   `json:"max_message"`   // one command
 	MaxArgs      int   `json:"max_args"`      // words of one command
 	MaxValue     int   `json:"max_value"`     // one value, either way
+	MaxID        int   `json:"max_id"`        // a request's id
+	MaxParams    int   `json:"max_params"`    // a command's list of names and values
 	ClientWrite  int64 `json:"client_write"`  // a client takes its answer within this
+	ClientFirst  int64 `json:"client_first"`  // a connection that has sent nothing at all is closed after this
+	ClientStall  int64 `json:"client_stall"`  // one that stands still within a command gets an error and a close
+	ClientSend   int64 `json:"client_send"`   // a command is whole within this, also where it keeps coming
+	ClientLull   int64 `json:"client_lull"`   // one without a request is closed after this where descriptors or memory are short
+	ClientIdle   int64 `json:"client_idle"`   // and after this in any case
+	BusyHint     int64 `json:"busy_hint"`     // come back after this where the process is full
 	AnswerMargin int64 `json:"answer_margin"` // an answer leaves so long before the client gives up
-	DrainAccept  int64 `json:"drain_accept"`  // after SIGTERM new connections are still taken for this long
+	DrainAccept  int64 `json:"drain_accept"`  // after SIGTERM a front without clients, and the object front, goes on listening for this long
+	DrainServe   int64 `json:"drain_serve"`   // the block front goes on taking requests for this long
+	DrainAnswer  int64 `json:"drain_answer"`  // and has answered them all by then, ahead of SIGKILL
 	DrainTotal   int64 `json:"drain_total"`   // after SIGTERM the process ends by then
 
 	// Storage nodes.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,12 +9,12 @@
 	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/core"
 	"poppyarch/internal/limits"
+	"poppyarch/internal/socket"
 )
 
 // ErrFull says that every descriptor set aside for nodes is in use.
@@ -81,7 +81,7 @@
 		if c == nil {
 			break
 		}
-		if alive(c.Conn) {
+		if socket.Peek(c.Conn) == socket.Quiet { // neither closed by the node nor spoilt by what nobody asked for
 			return c, nil
 		}
 		p.Drop(c)
@@ -262,23 +262,3 @@
 		}
 	}
 }
-
-// alive looks, without waiting or taking anything, whether the peer has closed an idle connection or sent what nobody asked for.
-func alive(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && quiet
-}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -10,6 +10,7 @@
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/limits"
+	"poppyarch/internal/socket"
 )
 
 // pipes is a pool whose connections are pipes, in a synctest bubble; it counts dials.
@@ -151,11 +152,11 @@
 		c := get(t, p, ln.Addr().String(), false)
 		p.Put(c)
 		peer := <-peers
-		if !alive(c.Conn) {
+		if socket.Peek(c.Conn) != socket.Quiet {
 			t.Fatal("a sound connection counts as dead")
 		}
 		spoil(peer)
-		for alive(c.Conn) { // the news takes its time
+		for socket.Peek(c.Conn) == socket.Quiet { // the news takes its time
 			time.Sleep(time.Millisecond)
 		}
 		if again := get(t, p, ln.Addr().String(), false); again == c {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"net"
 	"sync"
-	"time"
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/config"
@@ -71,7 +70,7 @@
 		conns := pool.New(lim, nodes, c)
 		behind.Go(func() { conns.Run(back) })
 		b := core.NewBroker(facade, table, gate, node.New(conns, c, lim), c, lim)
-		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy), clients, c, lim, log)
+		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy, cfg.Shards, lim), clients, c, lim, log)
 	}
 	if cfg.Object != nil {
 		conns := pool.New(lim, nodes, c) // a pool of its own: its connections speak HTTP
@@ -116,8 +115,6 @@
 	total, cancel := context.WithTimeout(context.WithoutCancel(ctx), clock.Duration(cfg.Limits.DrainTotal))
 	defer cancel()
 	var draining sync.WaitGroup
-	// Clients hear of the restart late and keep coming for a while.
-	time.AfterFunc(clock.Duration(cfg.Limits.DrainAccept), closeAll)
 	for addr, f := range fronts {
 		draining.Go(func() {
 			if err := f.Drain(total); err != nil {
