A connection that breaks no longer counts as a restarted node

A probe in the module counted what it refused for: by far the most waited for nodes held for cold after a doubt, all 8 nodes of all brokers from the tenth second on, though discovery told of no start. One attempt in ten ended in a reset.

Ruled out: CPU (0.09 of a core), descriptors (93 of 384), silence (10 time-outs in 5 s), the new nodes' own cold start (discovery tells their start times, read in a trace, and the guard holds for them).

Cause: observe() took any NoConnection or ConnectionLost for a restart: nothing to the node for 200 ms, then a cold node's part for all of its warm-up. node.Do reported a break before the last byte as NoConnection too.

Now: Unsent names a break before the last byte and blames nobody; a node counts as restarted when two connections in a row cannot be made, or one fails or breaks after a second without an answer.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -296,6 +296,7 @@
 	longest := int64(0)
 	for _, k := range c.Policy.Classes {
 		longest = max(longest, k.Deadline.Microseconds())
+		l.AnswerRest = min(l.AnswerRest, k.Aim.Microseconds()/3) // so that what may run twice can go again in time
 	}
 	l.ClientSend = longest // by then its client has given up
 	l.DrainTotal = max(l.DrainTotal, longest+500*ms)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,11 +27,24 @@
 	Cancelled      = policy.Cancelled
 	NotSent        = policy.NotSent
 	Spoilt         = policy.Spoilt
+	Unsent         = policy.Unsent
 )
 
 // ErrClientLeft is the cause with which a front cancels a request whose client went away.
 var ErrClientLeft = errors.New("client left")
 
+// errDue is the cause with which the core ends an attempt at its client's deadline.
+var errDue = errors.New("due")
+
+// Ended names the outcome of an attempt that ended with its ctx: a node that was silent until the client's time was up
+// has timed out, and the module must hear of that; where the client left, it tells nothing.
+func Ended(ctx context.Context) Outcome {
+	if context.Cause(ctx) == errDue {
+		return TimedOut
+	}
+	return Cancelled
+}
+
 // Request is one request as a front takes it. Work is what its backend shall do; the core only passes it on.
 type Request[W any] struct {
 	policy.Job
@@ -100,22 +113,25 @@
 	}
 	defer b.open.Leave()
 	last := r.Due - b.lim.AnswerMargin
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	due := time.AfterFunc(clock.Duration(last-b.clock.Now()), cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	due := time.AfterFunc(clock.Duration(last-b.clock.Now()), func() { cancel(errDue) })
 	defer due.Stop()
 	id, d := b.facade.Pick(ctx, r.Job)
 	for number := 0; d.Verdict == policy.ToNode; number++ {
-		node, _ := b.nodes.Get(d.Node)
-		v, out := b.backend.Do(ctx, Attempt[W]{
-			Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
-			Deadline: min(b.clock.Now()+d.Timeout, last),
-			Open:     func() bool { return b.nodes.Takes(node) },
-			Begin: func() {
-				due.Stop() // an answer that has begun has no deadline
-				b.facade.Began(id)
-			},
-		})
+		var v V
+		out := NotSent
+		if node, ok := b.nodes.Get(d.Node); ok {
+			v, out = b.backend.Do(ctx, Attempt[W]{
+				Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
+				Deadline: min(b.clock.Now()+d.Timeout, last),
+				Open:     func() bool { return b.nodes.Takes(node) },
+				Begin: func() {
+					due.Stop() // an answer that has begun has no deadline
+					b.facade.Began(id)
+				},
+			})
+		}
 		d = b.facade.Report(ctx, id, out)
 		if out == Served || d.Verdict == policy.Ended {
 			// One that began and broke has a value as well: it tells the front that nothing more can be said.
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -19,6 +19,7 @@
 	takes    time.Duration
 	calls    int
 	last     Attempt[string]
+	ended    Outcome // of an attempt that did not end by itself
 }
 
 func (b *backend) Do(ctx context.Context, a Attempt[string]) (string, Outcome) {
@@ -31,7 +32,10 @@
 	case <-time.After(b.takes):
 		return "value of " + a.Work, o
 	case <-ctx.Done():
-		return "", Cancelled
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.ended = Ended(ctx)
+		return "", b.ended
 	}
 }
 
@@ -102,15 +106,22 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			b, c, _ := start(ctx, t, &backend{outcomes: []Outcome{Served}, takes: time.Hour}, repeat, "a")
+			be := &backend{outcomes: []Outcome{Served}, takes: time.Hour}
+			b, c, _ := start(ctx, t, be, repeat, "a")
 			r := request(c)
+			r.Due = c.Now() + 3_000_000 // before its aim, which ends an attempt otherwise
 			a := b.Do(ctx, r)
+			be.mu.Lock()
+			defer be.mu.Unlock()
 			if a.Kind == Success || c.Now() > r.Due {
 				t.Errorf("kind %d, %d us after it was due", a.Kind, c.Now()-r.Due)
 			}
 			if a.Kind == Refusal && repeat == policy.Unsafe {
 				t.Error("a refusal of what may have run")
 			}
+			if be.ended != TimedOut {
+				t.Errorf("outcome %d: the module must hear that the node was silent", be.ended)
+			}
 		})
 	}
 }
@@ -144,13 +155,35 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		b, c, _ := start(ctx, t, &backend{outcomes: []Outcome{Served}, takes: time.Hour}, policy.Safe, "a")
+		be := &backend{outcomes: []Outcome{Served}, takes: time.Hour}
+		b, c, _ := start(ctx, t, be, policy.Safe, "a")
 		client, leave := context.WithCancelCause(ctx)
 		began := c.Now()
 		time.AfterFunc(time.Second, func() { leave(ErrClientLeft) })
 		if a := b.Do(client, request(c)); a.Kind == Success || c.Now()-began != 1_000_000 {
 			t.Errorf("kind %d after %d us", a.Kind, c.Now()-began)
 		}
+		if be.ended != Cancelled {
+			t.Errorf("outcome %d: it tells nothing of the node", be.ended)
+		}
+	})
+}
+
+// A node that has left the list meanwhile gets nothing, and the table keeps nothing of it.
+func TestNodesThatAreGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		be := &backend{outcomes: []Outcome{Served}, takes: time.Second}
+		b, c, n := start(ctx, t, be, policy.Safe, "a")
+		n.Update([]Node{{ID: "a", State: policy.Gone}, {ID: "b"}}, false) // the module has not heard of it yet
+		if a := b.Do(ctx, request(c)); a.Kind != Refusal || be.calls != 0 {
+			t.Errorf("kind %d after %d attempts", a.Kind, be.calls)
+		}
+		n.Update([]Node{{ID: "c"}}, true)
+		if len(n.byID) != 1 {
+			t.Errorf("%d nodes known, want 1", len(n.byID))
+		}
 	})
 }
 
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -17,8 +17,8 @@
 	Started int64 // microseconds; 0: long ago
 }
 
-// Nodes is the node list as discovery told it last. Entries that left the list stay known as gone, since the
-// module may have decided on one in the same moment.
+// Nodes is the node list as discovery told it last. What left the list is forgotten: an attempt that the module decided
+// on in the same moment finds no node and is not sent.
 type Nodes struct {
 	mu   sync.RWMutex
 	byID map[string]Node
@@ -32,13 +32,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if full {
-		for id, n := range t.byID {
-			n.State = policy.Gone
-			t.byID[id] = n
-		}
+		clear(t.byID)
 	}
 	for _, n := range list {
-		t.byID[n.ID] = n
+		if n.State == policy.Gone {
+			delete(t.byID, n.ID)
+		} else {
+			t.byID[n.ID] = n
+		}
 	}
 }
 
@@ -56,14 +57,12 @@
 	return ok && now.State == policy.Ready && now.Addr == n.Addr && now.Objects == n.Objects
 }
 
-// All lists the nodes that are not gone.
+// All lists the nodes.
 func (t *Nodes) All() (list []Node) {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	for _, n := range t.byID {
-		if n.State != policy.Gone {
-			list = append(list, n)
-		}
+		list = append(list, n)
 	}
 	return list
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -104,6 +104,9 @@
 	return func(want policy.NodeState) func() bool {
 		return func() bool {
 			n, ok := table.Get(uid)
+			if want == policy.Gone { // what is gone is forgotten
+				return !ok
+			}
 			return ok && n.State == want
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,11 +46,11 @@
 	}
 	stop := conn.EndWith(ctx)
 	defer stop()
-	msg := a.Work.encode((a.Deadline - c.clock.Now()) / 1000)
+	sent := c.clock.Now()
+	msg := a.Work.encode((a.Deadline - sent) / 1000)
 	if n, err := conn.Write(msg); err != nil || n < len(msg) {
 		c.pool.Drop(conn)
-		c.pool.Quiet(a.Node.Addr)
-		return nil, core.NoConnection
+		return nil, core.Unsent
 	}
 	rep, err := c.read(ctx, conn, a.Deadline)
 	if err == nil && !rep.spoilt && stop() {
@@ -62,12 +62,12 @@
 	case err == nil:
 		return rep.value, rep.outcome()
 	case ctx.Err() != nil:
-		return nil, core.Cancelled
+		return nil, core.Ended(ctx)
 	case errors.Is(err, errSyntax): // nothing against the node, whose other connections are sound
 		return nil, core.Spoilt
 	}
-	c.pool.Quiet(a.Node.Addr)
 	if timedOut(err) {
+		c.pool.Quiet(a.Node.Addr, sent)
 		return nil, core.TimedOut
 	}
 	return nil, core.ConnectionLost
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -147,7 +147,7 @@
 	r := newRig()
 	a := r.attempt(addr, patience)
 	a.Work.Body = make([]byte, 64<<20) // more than any socket buffer takes
-	if _, out := r.client.Do(t.Context(), a); out != core.NoConnection {
+	if _, out := r.client.Do(t.Context(), a); out != core.Unsent {
 		t.Errorf("outcome %d", out)
 	}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/objectstore/client.go
+++ b/internal/objectstore/client.go
@@ -38,11 +38,11 @@
 	stop := conn.EndWith(ctx)
 	defer stop()
 	method, target, h, body := a.Work.request()
+	sent := c.clock.Now()
 	msg := encode(a.Node.Objects, method, target, h, body)
 	if n, err := conn.Write(msg); err != nil || n < len(msg) {
 		c.pool.Drop(conn)
-		c.pool.Quiet(a.Node.Objects)
-		return nil, core.NoConnection // its last byte was never written
+		return nil, core.Unsent // its last byte was never written
 	}
 	res, keep, err := c.read(ctx, conn, a)
 	if err == nil && keep && stop() {
@@ -54,17 +54,16 @@
 		return res, verdict(res, a.Unsafe)
 	}
 	if ctx.Err() != nil {
-		return res, core.Cancelled
+		return res, core.Ended(ctx)
 	}
 	var ne net.Error
 	switch {
 	case errors.Is(err, errVersion), errors.Is(err, errTooLong):
 		return res, core.NodeError
 	case errors.As(err, &ne) && ne.Timeout():
-		c.pool.Quiet(a.Node.Objects)
+		c.pool.Quiet(a.Node.Objects, sent)
 		return res, core.TimedOut
 	case errors.As(err, &ne), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		c.pool.Quiet(a.Node.Objects)
 		return res, core.ConnectionLost
 	}
 	return res, core.Spoilt // it came, and cannot be read
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -62,7 +62,7 @@
 
 	mu    sync.Mutex
 	idle  map[string][]*Conn // by address, the last used at the end
-	quiet map[string]int64   // by address: when an attempt there last got no answer
+	quiet map[string]int64   // by address: when the last attempt there was sent that got no answer
 	open  int                // idle, lent and dialling
 }
 
@@ -213,11 +213,11 @@
 	p.release()
 }
 
-// Quiet notes that an attempt at a node ended without an answer: its older connections may be dead by now.
-func (p *Pool) Quiet(addr string) {
-	now := p.clock.Now()
+// Quiet notes that an attempt at a node, sent then, ended in silence: connections that have not answered since may be dead
+// by now, as where the machine went away. One that broke is no such sign: its end is told, and so is the others'.
+func (p *Pool) Quiet(addr string, sent int64) {
 	p.mu.Lock()
-	p.quiet[addr] = now
+	p.quiet[addr] = max(p.quiet[addr], sent)
 	p.mu.Unlock()
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -53,7 +53,14 @@
 			t.Errorf("%d dials, want 2: silent for 6 s", *dials)
 		}
 		p.Put(c)
-		p.Quiet("a")
+		p.Quiet("a", p.clock.Now()-1)
+		time.Sleep(time.Millisecond)
+		c = get(t, p, "a", true)
+		if *dials != 2 {
+			t.Errorf("%d dials, want 2: it answered after the silent attempt was sent", *dials)
+		}
+		p.Put(c)
+		p.Quiet("a", p.clock.Now())
 		c = get(t, p, "a", true)
 		if *dials != 3 {
 			t.Errorf("%d dials, want 3: an attempt got no answer since", *dials)
--- a/policy/api.go
+++ b/policy/api.go
@@ -146,10 +146,13 @@
 	Cancelled
 	NotSent
 	Spoilt // it ran, but what came back cannot be read; says nothing against the node
+	Unsent // its connection broke before all of it was sent
 )
 
 // NeverRan reports whether the outcome proves that the attempt did not run.
-func (o Outcome) NeverRan() bool { return o == TurnedAway || o == NoConnection || o == NotSent }
+func (o Outcome) NeverRan() bool {
+	return o == TurnedAway || o == NoConnection || o == NotSent || o == Unsent
+}
 
 // Arrival is a request as the host takes it.
 type Arrival struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,8 @@
 	coldShare   = 0.5                    // part of what a cold node bears that lots send in the mean
 	trustLeast  = 0.35                   // under this part of trials served, work inside its reserve pauses too
 	trustGain   = 0.1                    // weight of one trial
+	sureRefused = 2                      // so many refused connections in a row mean that a process is down
+	sureSilence = time.Second            // a node that broke off after so long without an answer was down
 	minDepth    = 0.02                   // least D: under 1 it is a pause between sends
 	rateAge     = 5 * time.Second        // units asked, served and told are forgotten with this time constant
 	lateStretch = 1.5                    // an attempt that timed out counts as so many times what it was out
@@ -44,7 +46,7 @@
 	watchWait   = 500 * time.Millisecond // first wait after a failed list call; doubles
 	watchMax    = 4 * time.Second        // longest such wait, and never over half of AskWithin
 	forget      = time.Minute            // a volume without a request for so long is forgotten
-	maxLogs     = 60                     // log lines of one instance
+	maxLogs     = 60                     // log lines of one instance a minute
 )
 
 // request is one client request from arrival until it is over and all its attempts are known.
@@ -59,6 +61,7 @@
 	start, finish         float64       // tags
 	began                 time.Duration // first try of the client
 	aimAt, endAt          time.Duration // worth falls after aimAt; waiting ends at endAt
+	halfAt                time.Duration // half of what its client waits for this try is over
 	streamed              bool          // its answer began early: its client sets the pace
 	reserved, drawn       bool          // counted inside its volume's reserve; taken from its limit
 	over, waiting, served bool
@@ -114,6 +117,8 @@
 	history
 	aim                      float64       // mean aim of what was sent
 	suspect                  bool          // it let an attempt time out and has served none since
+	refused                  int           // connections that could not be made since it last served
+	heardAt, leftAt          time.Duration // its last answer; when it left the list
 	retryAt, doubtAt, sentAt time.Duration // nothing goes before; sign of a restart not yet listed
 	recent                   []meter       // sends within the tip window
 }
@@ -149,9 +154,10 @@
 	takenAt, furtherAt []time.Duration         // arrivals and further attempts within the budget's window
 	unserved           map[piece]time.Duration // refused or failed; until when its client may try again
 	logs               int
-	trust              float64 // part of the trials at suspect nodes that were served
-	asked              meter   // units of all volumes
-	all                history // of all nodes together
+	logsAt             time.Duration // since when they are counted
+	trust              float64       // part of the trials at suspect nodes that were served
+	asked              meter         // units of all volumes
+	all                history       // of all nodes together
 }
 
 // New checks the settings and returns a scheduler that knows nothing else.
@@ -238,6 +244,9 @@
 
 // log writes a rare line on a change of state.
 func (s *Scheduler) log(format string, args ...any) {
+	if s.now >= s.logsAt+time.Minute {
+		s.logs, s.logsAt = 0, s.now
+	}
 	if s.logs < maxLogs {
 		s.logs++
 		s.act = append(s.act, Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
@@ -276,7 +285,7 @@
 	}
 	r.class, r.vol = &s.cfg.Classes[r.a.Class], s.volume(&r.a)
 	r.began = s.firstTry(r)
-	r.aimAt = r.began + r.class.Aim
+	r.aimAt, r.halfAt = r.began+r.class.Aim, s.now+(r.a.Due-s.now)/2-tickBusy
 	s.label(r)
 	s.asked.add(s.now, r.a.Units)
 	s.todo = append(s.todo, r)
@@ -347,6 +356,9 @@
 	}
 	// Sent later than this it is not likely to pay.
 	r.endAt = min(r.aimAt-time.Duration(n.lat/2*float64(time.Second)), r.a.Due-endMargin)
+	if r.attempts == 0 { // kept for longer without a send, it costs more than a refusal
+		r.endAt = min(r.endAt, r.halfAt)
+	}
 	if r.endAt <= s.now {
 		s.giveUp(r, hintLong)
 		return
@@ -531,8 +543,17 @@
 	return nil
 }
 
-// tidy forgets clients that try no more, keys at rest and volumes long unseen.
+// tidy forgets clients that try no more, keys at rest, and volumes and nodes long unseen. A node is kept while
+// its drain, its cold start or a send in the rule's window may count if it comes back, and while one is
+// out.
 func (s *Scheduler) tidy() {
+	s.list = slices.DeleteFunc(s.list, func(n *node) bool {
+		gone := !n.listed && s.now > n.leftAt+forget+s.cfg.Warm && len(n.out) == 0 && n.queued == 0
+		if gone {
+			delete(s.nodes, n.Node)
+		}
+		return gone
+	})
 	maps.DeleteFunc(s.unserved, func(_ piece, until time.Duration) bool { return until <= s.now })
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.queue) == 0 && t.rest <= s.now })
 	maps.DeleteFunc(s.vols, func(_ string, v *volume) bool {
@@ -620,6 +641,9 @@
 	if n.suspect && ev.Outcome != Served && ev.Outcome != Spoilt {
 		s.trust -= trustGain * s.trust
 	}
+	if o := ev.Outcome; o == Served || o == NodeError || o == TurnedAway || o == Spoilt {
+		n.heardAt = s.now
+	}
 	// Spoilt answers come from good nodes as well: they are no sign of load, a restart or silence.
 	switch ev.Outcome {
 	case Served, NodeError, TimedOut:
@@ -628,7 +652,7 @@
 		}
 		if ev.Outcome == TimedOut {
 			lat *= lateStretch
-			if !n.suspect {
+			if !n.suspect && lat > pauseAim*n.aim { // one that had little time tells little
 				n.suspect = true
 				s.log("node %s suspect: no answer in %.0f ms", n.Node, lat*1000)
 			}
@@ -640,7 +664,14 @@
 		n.depth = max(minDepth, n.depth/2) // a full queue: longer than any stay that pays
 		n.retryAt = s.now + tickBusy
 	case NoConnection, ConnectionLost:
-		// The process may be down or just restarted: treat it as cold before the list says so.
+		// Where none can be made, or one breaks after a silence, the process may be down or just restarted: treat
+		// it as cold before the list says so. A single connection may break for reasons of its own.
+		if ev.Outcome == NoConnection {
+			n.refused++
+		}
+		if n.refused < sureRefused && !(n.suspect && s.now > n.heardAt+sureSilence) {
+			break
+		}
 		if s.now > n.doubtAt+s.cfg.Warm {
 			s.log("node %s may have restarted: outcome %d", n.Node, ev.Outcome)
 		}
@@ -653,6 +684,7 @@
 	r.vol.others.add(s.now, ev.Elsewhere)
 	if ev.Outcome == Served {
 		r.vol.served.add(s.now, r.a.Units)
+		n.refused = 0
 		if f := n.byVol[r.vol]; f != nil {
 			f.served += r.a.Units + ev.Elsewhere
 		}
@@ -873,7 +905,7 @@
 	s.askWait = watchWait
 	if ev.Kind == ListFull {
 		for _, n := range s.list {
-			n.listed = false
+			n.listed, n.leftAt = false, s.now
 		}
 	}
 	for i := range ev.Members {
@@ -886,7 +918,7 @@
 		} else if m.StartedAt > n.StartedAt {
 			n.depth = 1
 		}
-		n.Member, n.listed = *m, m.State != Gone
+		n.Member, n.listed, n.leftAt = *m, m.State != Gone, s.now
 	}
 	for _, n := range s.list {
 		for _, f := range n.flows { // what waits for a node that takes nothing new goes elsewhere or is refused
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -427,6 +428,95 @@
 	}
 }
 
+// A connection that breaks is no restart: taken for one, the node got next to nothing for a whole warm-up, and nothing at
+// all for 200 ms; with one attempt in ten broken, all nodes were cold. Where none can be made, or one breaks after a
+// silence, it is.
+func TestWhatCountsAsARestart(t *testing.T) {
+	for _, x := range []struct {
+		outcomes []Outcome
+		cold     bool
+	}{
+		{[]Outcome{ConnectionLost, ConnectionLost, Unsent, Unsent}, false},
+		{[]Outcome{NoConnection, Served, NoConnection}, false},
+		{[]Outcome{NoConnection, NoConnection}, true},
+		{[]Outcome{TimedOut, TimedOut, TimedOut, ConnectionLost}, true},
+		{[]Outcome{TimedOut, TimedOut, NoConnection}, true},
+		{[]Outcome{TimedOut, TimedOut, TimedOut, Served, ConnectionLost}, false},
+		{[]Outcome{Served, TimedOut, ConnectionLost}, false},
+	} {
+		r := newRig(t, testConfig())
+		n := r.s.nodes["a"]
+		for id, o := range x.outcomes {
+			for n.depth < 1 && len(of(r.after(period), Send)) == 0 {
+				n.depth = 1 // no pause: this is about what the outcome says
+			}
+			want(t, "sends", of(r.step(r.arrive(uint64(id+1), 0, 0, "v", fmt.Sprint(id), 2)), Send), uint64(id+1))
+			for range 4 {
+				r.after(period)
+			}
+			r.step(Event{Kind: Answered, ID: uint64(id + 1), Node: "a", Outcome: o, Final: true})
+		}
+		if _, cold := r.s.coldSince(n); cold != x.cold || (n.retryAt > r.now) != x.cold {
+			t.Errorf("%v: cold %v, nothing sent for %v", x.outcomes, cold, n.retryAt-r.now)
+		}
+	}
+}
+
+// An attempt with little time left that gets no answer in it does not make its node suspect.
+func TestLittleTimeMakesNoSuspect(t *testing.T) {
+	r := newRig(t, testConfig())
+	n := r.s.nodes["a"]
+	r.step(r.arrive(1, 0, 0, "v", "k", 2))
+	r.after(50*ms, Event{Kind: Answered, ID: 1, Node: "a", Outcome: TimedOut, Final: true})
+	if n.suspect {
+		t.Error("suspect after 50 ms of an aim of a second")
+	}
+	r.step(r.arrive(2, 0, 0, "v", "k2", 2))
+	for range 4 {
+		r.after(period)
+	}
+	r.after(period, Event{Kind: Answered, ID: 2, Node: "a", Outcome: TimedOut, Final: true})
+	if !n.suspect {
+		t.Error("not suspect after 500 ms of silence")
+	}
+}
+
+// A node that left the list is forgotten, but not while its cold start, a send of late or an attempt may still count.
+func TestGoneNodesAreForgotten(t *testing.T) {
+	r := newRig(t, testConfig(), Member{Node: "a"}, Member{Node: "b", Shard: 1})
+	r.step(r.arrive(1, 0, 0, "v", "k", 2))
+	r.step(Event{Kind: ListChanged, Members: []Member{{Node: "a", State: Gone}, {Node: "b", Shard: 1, State: Gone}}})
+	for range 600 {
+		r.after(period)
+	}
+	if r.s.nodes["b"] == nil {
+		t.Error("b is forgotten within its warm-up")
+	}
+	for range 200 {
+		r.after(period)
+	}
+	if r.s.nodes["b"] != nil || r.s.nodes["a"] == nil || len(r.s.list) != 1 {
+		t.Errorf("b known: %v; a, with an attempt out: %v", r.s.nodes["b"] != nil, r.s.nodes["a"] != nil)
+	}
+	r.after(period, Event{Kind: Answered, ID: 1, Node: "a", Outcome: Served, Final: true})
+	r.after(period)
+	if len(r.s.nodes)+len(r.s.list) != 0 {
+		t.Error("a is still known")
+	}
+}
+
+// What cannot be sent is refused by half of its client's time: later it costs more than a refusal.
+func TestNothingWaitsForOverHalfItsTime(t *testing.T) {
+	r := newRig(t, testConfig())
+	r.s.nodes["a"].depth = 1
+	r.step(r.arrive(1, 0, 0, "v", "k", 2)) // holds the node
+	ev := r.arrive(2, 0, 0, "v", "k2", 2)
+	ev.Arrival.Due = r.now + 600*ms
+	r.step(ev)
+	want(t, "refused early", of(r.after(260*ms), Refuse))
+	want(t, "refused at half", of(r.after(25*ms), Refuse), 2)
+}
+
 func TestOutcomeOfAnotherAttemptIsIgnored(t *testing.T) {
 	r := newRig(t, testConfig())
 	r.s.nodes["a"].depth = 8
--- a/policy/property_test.go
+++ b/policy/property_test.go
@@ -225,7 +225,7 @@
 		r.first = w.now
 	}
 	r.outcome = []Outcome{Served, Served, Served, Served, Served, Served, TurnedAway, NodeError, TimedOut, NoConnection,
-		ConnectionLost, NotSent, Spoilt}[w.rng.IntN(13)]
+		ConnectionLost, NotSent, Spoilt, Unsent}[w.rng.IntN(14)]
 	r.endsAt = min(w.now+time.Duration(5+w.rng.IntN(80))*ms, r.timeout)
 	if r.outcome == TimedOut || w.rng.IntN(30) == 0 {
 		r.endsAt = r.timeout
--- a/policy/size_test.go
+++ b/policy/size_test.go
@@ -148,20 +148,29 @@
 		if id%20 == 0 {
 			jump = time.Duration(rng.IntN(6000)) * ms
 		}
-		for _, a := range r.after(jump, r.arrive(id, int(id%3), 0, "x", fmt.Sprint(id%4), 1)) {
-			if a.Kind == Send && r.now >= r.s.reqs[a.ID].a.Due {
+		acts := r.after(jump, r.arrive(id, int(id%3), 0, "x", fmt.Sprint(id%4), 1))
+		for ; len(acts) > 0; acts = acts[1:] {
+			a := acts[0]
+			if a.Kind != Send {
+				continue
+			}
+			if r.now >= r.s.reqs[a.ID].a.Due {
 				t.Fatalf("request %d is sent after its client left", a.ID)
 			}
-			if a.Kind == Send && rng.IntN(3) > 0 {
-				r.step(answered(a.ID, "a", Served))
-			} else if a.Kind == Send {
-				r.step(Event{Kind: Answered, ID: a.ID, Node: "a", Outcome: TimedOut})
+			ev := answered(a.ID, "a", Served)
+			if ev.Attempt = r.s.reqs[a.ID].attempts - 1; rng.IntN(3) == 0 {
+				ev.Outcome, ev.Final = TimedOut, false
 			}
+			acts = append(acts, r.step(ev)...)
 		}
 	}
 	for i := 0; i < 100; i++ {
-		for _, x := range of(r.after(50*ms), Send) {
-			r.step(answered(x, "a", Served))
+		for acts := r.after(50 * ms); len(acts) > 0; acts = acts[1:] {
+			if a := acts[0]; a.Kind == Send {
+				ev := answered(a.ID, "a", Served)
+				ev.Attempt = r.s.reqs[a.ID].attempts - 1
+				acts = append(acts, r.step(ev)...)
+			}
 		}
 	}
 	if len(r.s.reqs) > 0 {
