--- a/policy/policy.go
+++ b/policy/policy.go
@@ -543,9 +543,9 @@
 	return nil
 }
 
-// tidy forgets clients that try no more, keys at rest, and volumes and nodes long unseen. A node is kept while
-// its drain, cold start or a send in the rule's window may count if it comes back, and while an attempt is
-// out.
+// tidy forgets clients that try no more, keys at rest, and volumes and nodes long unseen. A node is kept
+// while its drain, cold start or a send in the rule's window may count if it comes back, and while an
+// attempt is out.
 func (s *Scheduler) tidy() {
 	s.list = slices.DeleteFunc(s.list, func(n *node) bool {
 		gone := !n.listed && s.now > n.leftAt+forget+s.cfg.Warm && len(n.out) == 0
