Nodes that fail at once draw no new objects

Cause: observe() learned latency and depth from NodeError as from Served, so a node that fails within a millisecond became the fastest, and pick() sent it every new object.

Now: errors teach no latency; a node's part of errors (weight 0.1 an answer) counts in pick() like a queue of up to five aims. Data that only that node has still goes there, and what it serves brings it back.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,8 @@
 	coldShare   = 0.5                    // part of what a cold node bears that lots send in the mean
 	trustLeast  = 0.35                   // under this part of trials served, work inside its reserve pauses too
 	trustGain   = 0.1                    // weight of one trial
+	errorGain   = 0.1                    // weight of one answer in a node's part of errors
+	errorCost   = 5.0                    // a node that only fails is as good as one with a queue of so many aims
 	sureRefused = 2                      // so many refused connections in a row mean that a process is down
 	sureSilence = time.Second            // a node that broke off after so long without an answer was down
 	minDepth    = 0.02                   // least D: under 1 it is a pause between sends
@@ -116,6 +118,7 @@
 	queued       float64 // units waiting
 	history
 	aim                      float64       // mean aim of what was sent
+	errors                   float64       // part of its answers of late that were errors
 	suspect                  bool          // it let an attempt time out and has served none since
 	refused                  int           // connections that could not be made since it last served
 	heardAt, leftAt          time.Duration // its last answer; when it left the list
@@ -646,7 +649,12 @@
 	}
 	// Spoilt answers come from good nodes as well: they are no sign of load, a restart or silence.
 	switch ev.Outcome {
-	case Served, NodeError, TimedOut:
+	case NodeError: // how fast it fails tells nothing of how fast it serves
+		n.errors += errorGain * (1 - n.errors)
+	case Served, TimedOut:
+		if ev.Outcome == Served {
+			n.errors -= errorGain * n.errors
+		}
 		if s.stood > 0 || r.streamed { // how long it took tells of this host or the client, not of the node
 			break
 		}
@@ -845,6 +853,7 @@
 		if _, cold := s.coldSince(n); cold {
 			c += 5
 		}
+		c += errorCost * n.errors * n.aim // one that fails fast would draw all new objects
 		c *= 1 + 0.2*s.rng.Float64()
 		if c < cost || best == nil {
 			best, cost = n, c
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -462,6 +462,49 @@
 	}
 }
 
+// A node that fails at once looks like the fastest of all. Taken for that it drew all new objects, which must not run
+// twice and so were lost. It stays in use for what only it has, and comes back with what it serves.
+func TestFastErrorsDrawNoWork(t *testing.T) {
+	r := newRig(t, testConfig(), Member{Node: "bad"}, Member{Node: "good", Shard: 1})
+	bad := r.s.nodes["bad"]
+	fails, id := true, uint64(0)
+	count := func(shard int) (toBad int) {
+		for range 100 {
+			id++
+			ev := r.arrive(id, 1, 0, "v", fmt.Sprint(id), 2)
+			ev.Arrival.Shard = shard
+			for _, a := range r.after(100*ms, ev) {
+				if a.Kind != Send {
+					continue
+				}
+				out, wait := Served, 50*ms
+				if a.Node == "bad" {
+					toBad++
+					if fails {
+						out, wait = NodeError, ms
+					}
+				}
+				r.after(wait, Event{Kind: Answered, ID: a.ID, Node: a.Node, Outcome: out, Final: true})
+			}
+		}
+		return toBad
+	}
+	if n := count(0); n != 100 {
+		t.Errorf("%d of 100 sent to the only node that has the data", n)
+	}
+	if n := count(-1); n > 5 {
+		t.Errorf("%d of 100 new objects sent to a node that fails", n)
+	}
+	if bad.lat < 0.03 { // it knows of it what it knows of the others, where it has served nothing
+		t.Errorf("its errors count as answers within %v s", bad.lat)
+	}
+	fails = false
+	count(0)
+	if n := count(-1); n < 20 {
+		t.Errorf("%d of 100 new objects sent to it since it serves again", n)
+	}
+}
+
 // An attempt with little time left that gets no answer in it does not make its node suspect.
 func TestLittleTimeMakesNoSuspect(t *testing.T) {
 	r := newRig(t, testConfig())
