Idle connections go before clients use up the descriptors that they may hold

What is left: clients hold a third of the descriptors at most, and those that ask once and stay held all of it, since room() cleared idle ones from 205 connections on, above that third (128).

Now: limits.ClientKeep, an eighth below a third of the descriptors; from there on each new connection ends the longest idle one.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -276,6 +276,7 @@
 		ClientConns: free * 2 / 3, NodeConns: free / 3,
 		MaxOpen: 4096, MaxBodies: memory / 6, MaxPipeline: 128, MaxMessage: 72 << 10, MaxArgs: 16, MaxValue: 64 << 10,
 		MaxID: 64, MaxParams: 1024, ClientWrite: 5 * s, ClientFirst: 2*s + 500*ms, ClientStall: 1*s + 500*ms,
+		ClientKeep: m.Sockets/3 - m.Sockets/24, // clients may hold a third: idle ones must not use that up
 		ClientLull: 2 * s, ClientIdle: 10 * s, BusyHint: 200 * ms,
 		AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
 		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, NodeRest: 2 * ms, AnswerRest: 150 * ms, IdlePerNode: 16,
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -39,6 +39,7 @@
 	lim    *limits.Limits
 	log    *slog.Logger
 	most   int // connections
+	keep   int // connections without clearing idle ones away
 
 	held     atomic.Int64 // bytes of commands and answers not sent
 	draining atomic.Bool
@@ -54,7 +55,11 @@
 
 // New returns a front for at most conns clients at once.
 func New(b Broker, names *Names, conns int, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Front {
-	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, conns: map[*client]struct{}{},
+	keep := conns - conns/8
+	if lim.ClientKeep > 0 {
+		keep = min(keep, lim.ClientKeep)
+	}
+	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, keep: keep, conns: map[*client]struct{}{},
 		ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
 }
 
@@ -138,15 +143,16 @@
 
 const stays = 3
 
-// room returns once another client fits. It begins to clear places while some are left, so that a rush of clients that
-// ask once and stay finds them free: with each one waiting for another to go, clients stood in line for seconds.
+// room returns once another client fits. It begins to clear places while some are left: with each client waiting for
+// another to go, they stood in line for seconds; and clients that ask once and stay use up what all clients together
+// may hold, so that others cannot even connect.
 func (f *Front) room() {
 	for {
 		f.mu.Lock()
 		n := len(f.conns)
 		var idle *client
 		leaving := 0
-		if n >= f.most-f.most/8 {
+		if n >= f.keep {
 			now, least, since := f.clock.Now(), stays, int64(0)
 			for c := range f.conns {
 				if c.net.nudged.Load() {
--- a/internal/front/block/front_test.go
+++ b/internal/front/block/front_test.go
@@ -419,6 +419,23 @@
 	expectEnd(t, first)
 }
 
+// Clients may hold only so many connections for their requests: idle ones go well before they use that up.
+func TestIdleClientsDoNotUseUpWhatClientsMayHold(t *testing.T) {
+	lim := testLimits()
+	lim.ClientKeep = 2
+	r := newRig(t, lim, 100)
+	var first *bufio.Reader
+	for range 3 {
+		c, in := r.dial()
+		io.WriteString(c, words("PING"))
+		expectText(t, in, "+PONG\r\n")
+		if first == nil {
+			first = in
+		}
+	}
+	expectEnd(t, first)
+}
+
 // At the bound on connections the longest idle client makes room; a busy one never does.
 func TestIdleClientsMakeRoom(t *testing.T) {
 	r := newRig(t, testLimits(), 2)
