A drain ends no idle connection for a new one

Clients open no new connections from 0.4 s after SIGTERM on and use those that stand; room() ended the longest idle of them for each new one before that.

Now: in a drain room() clears only where the table is full.

--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -152,7 +152,7 @@
 		n := len(f.conns)
 		var idle *client
 		leaving := 0
-		if n >= f.keep {
+		if n >= f.most || n >= f.keep && !f.draining.Load() { // in a drain they are all that clients have left
 			now, least, since := f.clock.Now(), stays, int64(0)
 			for c := range f.conns {
 				if c.net.nudged.Load() {
--- a/internal/front/block/front_test.go
+++ b/internal/front/block/front_test.go
@@ -436,6 +436,23 @@
 	expectEnd(t, first)
 }
 
+// In a drain idle connections are all that clients have left: none is ended for a new one.
+func TestDrainKeepsIdleClients(t *testing.T) {
+	lim := testLimits()
+	lim.ClientKeep = 2
+	r := newRig(t, lim, 100)
+	r.front.draining.Store(true)
+	first, firstIn := r.dial()
+	c, in := first, firstIn
+	for range 4 {
+		io.WriteString(c, words("PING"))
+		expectText(t, in, "+PONG\r\n")
+		c, in = r.dial()
+	}
+	io.WriteString(first, words("PING"))
+	expectText(t, firstIn, "+PONG\r\n")
+}
+
 // At the bound on connections the longest idle client makes room; a busy one never does.
 func TestIdleClientsMakeRoom(t *testing.T) {
 	r := newRig(t, testLimits(), 2)
