Idle clients go until few enough are kept; those that asked nothing push out nobody

A probe in the front (counts per second of who connects, who is ended and how long it had been quiet) showed: the connections stood at 127 or 128, the third that clients may hold, for seconds; with a crowd of PINGs (400 to 600 connects a second for 2 s) they went to 155 to 234 and fell by nothing afterwards; in the second after, a broker that had 120 to 300 requests a second got 12.

Ruled out: refusals by the module (counted by line: 10 to 30 a second), honest clients ended before their first byte is read (all connections ended without a byte were the silent ones, 45 a second), cold nodes (none), failed attempts (few).

At fault: front.go, room(). It ended one idle client for each that came, so a level reached once stayed, and at the third clients can no longer come to bring it down; it counted connections without any request (silent, PING only) into ClientKeep, so these pushed out those that ask; and in a drain the oldest went first, which are those that still ask.

Now connections that have carried a request are counted apart, and trimmed to ClientKeep when one joins them and when an answer has gone out; the others only make room near the front's own bound. In a drain, those that asked go last.

The policy is unchanged.

--- a/internal/front/block/client.go
+++ b/internal/front/block/client.go
@@ -20,6 +20,8 @@
 	came  int64        // when it connected
 	since atomic.Int64 // when its last answer went out, or it connected
 	owed  atomic.Int64
+	asked atomic.Bool // it has carried a request
+	ended atomic.Bool // it goes as soon as its reader is through
 
 	// Of the reader, and read by others only to choose whom to close.
 	last  atomic.Int64 // when its last byte came; 0: none
@@ -68,6 +70,7 @@
 	}
 	if c.mid.Load() {
 		if c.stalled(now, nudged) || now >= c.began+f.lim.ClientSend {
+			c.ended.Store(true)
 			return errStalled
 		}
 		return nil
@@ -76,11 +79,15 @@
 	switch {
 	case nudged, c.last.Load() == 0 && now >= c.came+f.lim.ClientFirst, idle >= f.lim.ClientIdle,
 		c.last.Load() > 0 && idle >= f.lim.ClientLull && (c.large || f.crowded()):
+		c.ended.Store(true)
 		return errIdle
 	}
 	return nil
 }
 
+// leaving reports whether it has been told to go.
+func (c *client) leaving() bool { return c.ended.Load() || c.net.nudged.Load() }
+
 // quietSince is when it was last heard of, or answered.
 func (c *client) quietSince() int64 { return max(c.last.Load(), c.since.Load()) }
 
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -39,7 +39,8 @@
 	lim    *limits.Limits
 	log    *slog.Logger
 	most   int // connections
-	keep   int // connections without clearing idle ones away
+	spare  int // connections from which on places are cleared
+	keep   int // connections that have carried a request
 
 	held     atomic.Int64 // bytes of commands and answers not sent
 	draining atomic.Bool
@@ -47,6 +48,7 @@
 	mu       sync.Mutex
 	ln       net.Listener
 	conns    map[*client]struct{}
+	asked    int                 // of these, how many have carried a request
 	ids      map[string]struct{} // of requests that are not answered
 	gone     chan struct{}       // a client connection has ended; holds one
 	shut     atomic.Bool         // the listener is closed
@@ -55,12 +57,13 @@
 
 // New returns a front for at most conns clients at once.
 func New(b Broker, names *Names, conns int, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Front {
-	keep := conns - conns/8
+	spare := conns - conns/8
+	keep := spare
 	if lim.ClientKeep > 0 {
 		keep = min(keep, lim.ClientKeep)
 	}
-	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, keep: keep, conns: map[*client]struct{}{},
-		ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
+	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, spare: spare, keep: keep,
+		conns: map[*client]struct{}{}, ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
 }
 
 // Serve accepts clients until the listener is closed.
@@ -124,44 +127,59 @@
 	return len(f.conns) > f.most/2
 }
 
-// rank orders clients by how little it costs to close them: those that got their error or never said a word, those that
-// have stopped within a command, those between two requests. All others stay, and so do those told to go a moment ago,
-// which would be waited for in vain where something has come from them meanwhile.
+// rank orders clients by how little it costs to close them: those that got their error or have not said a word for
+// some time, those that have stopped within a command, those that have only connected or said PING, those between two
+// requests. All others stay, and so do those told to go a moment ago, which would be waited for in vain where something
+// has come from them meanwhile.
 func (c *client) rank(now int64) int {
 	switch {
-	case c.owed.Load() > 0, c.net.nudged.Load():
+	case c.owed.Load() > 0, c.leaving():
 		return stays
-	case c.last.Load() == 0, c.net.over.Load():
+	case c.net.over.Load(), c.last.Load() == 0 && now >= c.came+c.front.lim.ClientStall/4:
 		return 0
 	case c.stalled(now, true):
 		return 1
 	case c.mid.Load():
 		return stays
+	case !c.asked.Load():
+		return 2
 	}
-	return 2
+	return between
 }
 
-const stays = 3
+const (
+	between = 3 // two requests
+	stays   = 4
+)
+
+// idlest is the client whose end costs least, the longest quiet one first, among those of ranks from least to under
+// most; nil: none. The caller holds mu.
+func (f *Front) idlest(least, most int) *client {
+	var idle *client
+	now, rank, since := f.clock.Now(), most, int64(0)
+	for c := range f.conns {
+		r, q := c.rank(now), c.quietSince()
+		if r >= least && (r < rank || r == rank && idle != nil && q < since) {
+			idle, rank, since = c, r, q
+		}
+	}
+	return idle
+}
 
 // room returns once another client fits. It begins to clear places while some are left: with each client waiting for
-// another to go, they stood in line for seconds; and clients that ask once and stay use up what all clients together
-// may hold, so that others cannot even connect.
+// another to go, they stood in line for seconds. In a drain those that have asked stay as long as they can: they are
+// all that clients have left.
 func (f *Front) room() {
 	for {
 		f.mu.Lock()
 		n := len(f.conns)
+		most := stays
+		if f.draining.Load() && n < f.most {
+			most = between
+		}
 		var idle *client
-		leaving := 0
-		if n >= f.most || n >= f.keep && !f.draining.Load() { // in a drain they are all that clients have left
-			now, least, since := f.clock.Now(), stays, int64(0)
-			for c := range f.conns {
-				if c.net.nudged.Load() {
-					leaving++
-				}
-				if r, q := c.rank(now), c.quietSince(); r < least || r == least && r < stays && q < since {
-					idle, least, since = c, r, q
-				}
-			}
+		if n >= f.spare {
+			idle = f.idlest(0, most)
 		}
 		f.mu.Unlock()
 		if idle != nil {
@@ -170,7 +188,7 @@
 		if n < f.most {
 			return
 		}
-		if idle == nil && leaving == 0 {
+		if idle == nil && !f.anyLeaving() {
 			f.log.Warn("clients: all connections busy", "conns", n)
 		}
 		select {
@@ -180,6 +198,43 @@
 	}
 }
 
+// anyLeaving reports whether some client has been told to go and is not gone yet.
+func (f *Front) anyLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.leaving() {
+			return true
+		}
+	}
+	return false
+}
+
+// trim ends the longest idle clients that have asked until as many are left as may be kept. Clients that ask once and
+// stay use up what all clients together may hold for requests, and then cannot even connect; so one end for each that
+// comes is not enough: nobody would come any more to bring the number down. Connections that carry no request do not
+// count there, and must not push out those that do.
+func (f *Front) trim() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.asked <= f.keep || f.draining.Load() {
+		return
+	}
+	over := f.asked - f.keep
+	for c := range f.conns {
+		if c.asked.Load() && c.leaving() {
+			over--
+		}
+	}
+	for ; over > 0; over-- {
+		idle := f.idlest(between, stays)
+		if idle == nil {
+			return
+		}
+		idle.net.nudge()
+	}
+}
+
 // closed is redcon's word that it is done with a connection.
 func (f *Front) closed(rc redcon.Conn, _ error) {
 	w, ok := rc.NetConn().(*wrapped)
@@ -188,6 +243,9 @@
 	}
 	w.net.Close()
 	f.mu.Lock()
+	if _, ok := f.conns[w.client]; ok && w.asked.Load() {
+		f.asked--
+	}
 	delete(f.conns, w.client)
 	f.mu.Unlock()
 	select {
@@ -260,6 +318,12 @@
 			break
 		}
 		w.owe(s)
+		if !w.asked.Swap(true) {
+			f.mu.Lock()
+			f.asked++
+			f.mu.Unlock()
+			f.trim()
+		}
 		requests.Go(func() {
 			b := encode(f.broker.Do(ctx, r))
 			s.bytes.Add(int64(len(b)))
@@ -320,8 +384,11 @@
 		}
 		w.front.close(s)
 		w.since.Store(w.front.clock.Now())
-		if w.owed.Add(-1) == 0 && w.front.shut.Load() {
-			w.net.nudge()
+		if w.owed.Add(-1) == 0 {
+			if w.front.shut.Load() {
+				w.net.nudge()
+			}
+			w.front.trim() // where all were busy before
 		}
 		if s.last && !broken {
 			if c, ok := w.net.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -25,7 +25,7 @@
 	ClientStall  int64 `json:"client_stall"`  // one that stands still within a command gets an error and a close
 	ClientSend   int64 `json:"client_send"`   // a command is whole within this, also where it keeps coming
 	ClientLull   int64 `json:"client_lull"`   // one without a request is closed after this where descriptors or memory are short
-	ClientKeep   int   `json:"client_keep"`   // from so many connections on, each new one ends the longest idle
+	ClientKeep   int   `json:"client_keep"`   // so many connections that have carried a request stay; the longest idle go first
 	ClientIdle   int64 `json:"client_idle"`   // and after this in any case
 	BusyHint     int64 `json:"busy_hint"`     // come back after this where the process is full
 	AnswerMargin int64 `json:"answer_margin"` // an answer leaves so long before the client gives up
