A quick node's lone time-out counts only if its next answer is slow too

At fault: policy.go, observe(). Each time-out counted as a stay of one and a half aims, halved D and moved the mean stay over 0.3 of the aim, from where each good answer cut D further.

Now the first time-out of a quick node (D of at least 1, mean stay within aimPart) waits for the next answer; a quick one forgets it, a slow one or a second time-out counts both. Until then one request is out there at most.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -120,6 +120,7 @@
 	aim                      float64       // mean aim of what was sent
 	errors                   float64       // part of its answers of late that were errors
 	suspect                  bool          // it let an attempt time out and has served none since
+	held                     float64       // how long that took, if nothing else has told of its load yet
 	refused                  int           // connections that could not be made since it last served
 	heardAt, leftAt          time.Duration // its last answer; when it left the list
 	retryAt, doubtAt, sentAt time.Duration // nothing goes before; sign of a restart not yet listed
@@ -507,7 +508,7 @@
 
 // dispatch sends while fewer than D requests are out: lowest start tag plus compensation first.
 func (s *Scheduler) dispatch(n *node) {
-	for n.queued > 0 && len(n.out) < int(max(n.depth, 1)) && s.now >= n.retryAt {
+	for n.queued > 0 && len(n.out) < n.room() && s.now >= n.retryAt {
 		var best *request
 		for _, f := range n.flows {
 			if r := s.head(f, n); r != nil && (best == nil || r.start+f.comp < best.start+best.flow.comp) {
@@ -521,6 +522,14 @@
 	}
 }
 
+// room is how many requests may be out: D, but one where the last attempt may only have got lost.
+func (n *node) room() int {
+	if n.held > 0 {
+		return 1
+	}
+	return int(max(n.depth, 1))
+}
+
 // paused is how long the pause between sends still lasts: where D is under 1, one goes in every mean stay
 // over D. What is inside a reserve is owed in full and waits for none, unless trials at suspect nodes are
 // hardly ever served, as where nodes go on with what timed out or are dead: then a tenth, from a D of a tenth
@@ -663,8 +672,18 @@
 			if !n.suspect && lat > pauseAim*n.aim { // one that had little time tells little
 				n.suspect = true
 				s.log("node %s suspect: no answer in %.0f ms", n.Node, lat*1000)
+				if n.depth >= 1 && n.lat > 0 && n.lat <= aimPart*n.aim { // its next answer tells more
+					n.held = lat
+					break
+				}
 			}
 		}
+		// A connection may fall silent and take an attempt along at a node that is quick. Counted as a stay of one
+		// and a half aims, one in twenty of these kept D under 1 for good.
+		if n.held > 0 && lat > aimPart*n.aim {
+			n.history.learn(n.held, true, n.aim, false)
+		}
+		n.held = 0
 		n.history.learn(lat, ev.Outcome == TimedOut, n.aim, n.queued > 0)
 		// Of all nodes the middle counts, so that a few bad ones do not speak for the rest.
 		s.all.learn(s.all.lat+math.Copysign(medianStep*n.aim/latGain, lat-s.all.lat), false, n.aim, false)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -293,6 +293,37 @@
 	}
 }
 
+// A connection that falls silent takes its attempt along and tells nothing of its node. So the first time-out of a quick
+// node counts only if the next answer is slow too or does not come; until then one request is out there at most.
+func TestLoneTimeOutIsNoLoad(t *testing.T) {
+	for _, x := range []struct {
+		stay    time.Duration
+		outcome Outcome
+		counts  bool
+	}{{50 * ms, Served, false}, {400 * ms, Served, true}, {time.Second, TimedOut, true}} {
+		r := newRig(t, testConfig())
+		n := r.s.nodes["a"]
+		n.lat, n.depth = 0.05, 3
+		r.step(r.arrive(1, 0, 0, "x", "", 1))
+		for range 10 {
+			r.after(100 * ms)
+		}
+		r.step(Event{Kind: Answered, ID: 1, Node: "a", Outcome: TimedOut})
+		if !n.suspect || n.depth != 3 || n.lat != 0.05 {
+			t.Fatalf("suspect %v, depth %v, latency %v right after the time-out", n.suspect, n.depth, n.lat)
+		}
+		acts := r.step(r.arrive(2, 0, 0, "x", "", 1), r.arrive(3, 0, 0, "x", "", 1))
+		want(t, "sent before the next answer", of(acts, Send), 2)
+		for range x.stay / (50 * ms) {
+			r.after(50 * ms)
+		}
+		r.step(Event{Kind: Answered, ID: 2, Node: "a", Outcome: x.outcome, Final: x.outcome == Served})
+		if counts := n.depth < 2; counts != x.counts || (n.lat > 0.1) != x.counts {
+			t.Errorf("next answer %d after %v: depth %v, latency %v", x.outcome, x.stay, n.depth, n.lat)
+		}
+	}
+}
+
 // With one host in many, D under 1 is a pause between sends; what is inside a reserve does not wait for it.
 func TestDepthUnderOneIsAPause(t *testing.T) {
 	r := newRig(t, testConfig())
