A watch call that hangs is given up after 2 s instead of 12 s

The brokers' logs: all four 'watch ended: context deadline exceeded' at 12.37 s, 12 s after their first call, then answers that broke off.

Checked with a log line for each list and calls of 2 s: about four calls in ten hang or break off, the next is usually answered within 200 ms, answers without news come 2 to 10 ms after the wait. So it is single answers that are lost, and discovery itself is well. Ruled out: the table and the module, which took up every list that came.

At fault: config.go, ListWait 10 s with ListGrace 2 s. What discovery has to tell counts as told 2 s after a call's wait, so a drain would also have been noticed just when new work had to stop.

Now the wait is 1 s and the grace 1 s; the grace doubles with each answer that comes too late, up to 8 s, so that a discovery that is slow is not asked in vain.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -30,6 +30,18 @@
 	}
 }
 
+// What discovery has to tell counts as told 2 s after the wait of a call that hangs, and after SIGHUP within 4 s: a hung
+// call must be noticed early enough for several further ones. With 10 s and 2 s it was noticed when it was too late.
+func TestHungWatchIsNoticedInTime(t *testing.T) {
+	c, err := Parse([]byte(good), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := c.Limits; l.ListGrace > 1_000_000 || l.ListWait+l.ListGrace > 2_000_000 {
+		t.Errorf("a hung call is noticed after %d + %d µs", l.ListWait, l.ListGrace)
+	}
+}
+
 func TestEnvironmentOverrides(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "c.json")
 	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -92,6 +92,7 @@
 
 	zones []string
 	rev   int64
+	grace int64 // how much later than its wait an answer may come
 	http  *http.Client
 	lim   *limits.Limits
 	table *core.Nodes
@@ -106,7 +107,7 @@
 func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
 	log *slog.Logger) *Client {
 	return &Client{
-		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, table: table, f: f, lim: lim, log: log,
+		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, grace: lim.ListGrace, table: table, f: f, lim: lim, log: log,
 		http: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
 				IdleConnTimeout: clock.Duration(lim.NodeIdle)},
@@ -178,6 +179,7 @@
 			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
 			l, err = c.call(ctx, base, NoList)
 		}
+		c.learn(err)
 		if err != nil {
 			return err
 		}
@@ -204,6 +206,20 @@
 	}
 }
 
+// patience is how many times its usual grace an answer gets where discovery is slow.
+const patience = 8
+
+// learn sets how long the next answer is waited for. A call that hangs has to be given up soon, since what it should
+// have told counts as told soon after its wait; but a discovery that is slow to answer must not be asked in vain forever.
+func (c *Client) learn(err error) {
+	switch {
+	case err == nil:
+		c.grace = c.lim.ListGrace
+	case errors.Is(err, context.DeadlineExceeded):
+		c.grace = min(2*c.grace, patience*c.lim.ListGrace)
+	}
+}
+
 // call makes one call: for what is newer than rev, or with NoList for the whole list.
 //
 // Version 0 must not count as no list: discovery starts there, and a client that took it so read the whole list
@@ -215,7 +231,7 @@
 		q.Set("after", strconv.FormatInt(rev, 10))
 		q.Set("wait_ms", strconv.FormatInt(wait/1000, 10))
 	}
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+c.lim.ListGrace))
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+c.grace))
 	defer cancel()
 	at := base
 	if len(q) > 0 {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -43,8 +43,8 @@
 	IdlePerNode int   `json:"idle_per_node"` // idle connections kept to one node
 
 	// Discovery.
-	ListWait    int64 `json:"list_wait"`     // how long a watch call waits for news
-	ListGrace   int64 `json:"list_grace"`    // and how much later its answer may come
+	ListWait    int64 `json:"list_wait"`     // how long a watch call waits for news; one that hangs goes unnoticed for as long
+	ListGrace   int64 `json:"list_grace"`    // and how much later its answer may come; doubles with each that comes too late, up to patience times
 	ListPause   int64 `json:"list_pause"`    // before the next call where one came back at once without news
 	MaxList     int64 `json:"max_list"`      // one answer
 	MaxListRows int   `json:"max_list_rows"` // entries of one answer
