A broker's control endpoint: changes by compare and set, nodes by operators' word

Need: a broker cannot say which configuration it holds, and a change is a restart.

With control.listen in its configuration (off without) a broker says its boot, the revision it holds and its list's version, and takes whole states of log level, discovery, max_open and operators' node changes, each meant for one boot and one revision, each command id at most once. internal/overlay lays node changes over discovery's list; an operator's word only ever takes work away from nodes that discovery knows. Without the key lists go straight through as before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"poppyarch/internal/control"
 	"poppyarch/internal/discovery"
 	"poppyarch/internal/limits"
 	"poppyarch/internal/settings"
@@ -31,7 +32,8 @@
 	Zones     []string
 	Shards    int // 0: not told
 	Limits    limits.Limits
-	Object    *Object // nil: the object front is off
+	Object    *Object  // nil: the object front is off
+	Control   *Control // nil: there is no control endpoint
 	LogLevel  string
 
 	fileDiscovery string            // as the file has it, whatever LB_DISCOVERY says
@@ -50,6 +52,12 @@
 	Buckets   map[string]string `json:"buckets"` // plans by bucket
 }
 
+// Control sets up the control endpoint.
+type Control struct {
+	Listen  string `json:"listen"`            // unix:PATH, or HOST:PORT on loopback
+	Started string `json:"started,omitempty"` // what whoever starts the broker calls its start settings
+}
+
 // file is the form of the configuration file.
 type file struct {
 	Name      string `json:"name"`
@@ -64,6 +72,7 @@
 	Known    *discovery.List `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 	Object   *Object         `json:"object"`
+	Control  *Control        `json:"control"`
 	Log      string          `json:"log"`
 	Tuning   json.RawMessage `json:"tuning"` // single figures of limits.Limits, in its words
 }
@@ -170,7 +179,7 @@
 			*to = v
 		}
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object,
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object, Control: in.Control,
 		LogLevel: in.Log, fileDiscovery: fileDiscovery}
 	var err error
 	if c.keys, err = keys(text); err != nil {
@@ -189,12 +198,12 @@
 		if v == "" && key == "listen" {
 			continue
 		}
-		if err := address(v); err != nil {
+		if err := Address(v); err != nil {
 			return nil, fmt.Errorf("%s: %w", key, err)
 		}
 	}
 	if v := c.fileDiscovery; v != "" { // a reload may turn to it, whatever LB_DISCOVERY said at the start
-		if err := address(v); err != nil {
+		if err := Address(v); err != nil {
 			return nil, fmt.Errorf("discovery: %w", err)
 		}
 	}
@@ -239,6 +248,11 @@
 	if err := c.fillLimits(&in, &ex); err != nil {
 		return nil, err
 	}
+	if c.Control != nil {
+		if _, _, err := control.Network(c.Control.Listen); err != nil {
+			return nil, fmt.Errorf("control.listen: %w", err)
+		}
+	}
 	if c.Object != nil {
 		if err := c.checkObject(&ex); err != nil {
 			return nil, fmt.Errorf("object.%w", err)
@@ -335,7 +349,7 @@
 // checkObject checks the object front's keys and gives defaults.
 func (c *Config) checkObject(ex *extra) error {
 	o := c.Object
-	if err := address(o.Listen); err != nil {
+	if err := Address(o.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if o.Shards == 0 {
@@ -393,8 +407,8 @@
 	return -1
 }
 
-// address checks host:port.
-func address(s string) error {
+// Address checks HOST:PORT.
+func Address(s string) error {
 	if s == "" {
 		return errors.New("missing")
 	}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"poppyarch/internal/fleet/spec"
+)
+
+// State is what a boot says of itself.
+type State struct {
+	Name     string    `json:"name"`
+	Boot     string    `json:"boot"`
+	PID      int       `json:"pid"`
+	Started  string    `json:"started"` // digest of its start settings, as its configuration names it
+	Applied  uint64    `json:"applied"` // revision that it holds; 0: what it started with
+	Token    uint64    `json:"token"`
+	Since    time.Time `json:"since"`
+	Draining bool      `json:"draining,omitempty"`
+	ListRev  int64     `json:"list_rev"` // version of discovery's list that it works by; -1: none yet
+	Nodes    int       `json:"nodes"`
+	Open     int64     `json:"open"` // requests taken and not answered
+	Live     spec.Live `json:"live"` // in force
+}
+
+// Broker is the running broker behind the endpoint.
+type Broker interface {
+	// Check reports what in a change cannot be taken up, naming the field.
+	Check(spec.Live, []spec.Node) error
+	// Take takes a checked change up and tells what that did.
+	Take(spec.Live, []spec.Node) []Effect
+	// Describe fills in what the broker knows: list, nodes, open requests, settings in force.
+	Describe(*State)
+}
+
+// Server serves one boot's endpoint.
+type Server struct {
+	broker Broker
+	log    *slog.Logger
+	since  time.Time
+	name   string
+	start  string
+
+	mu       sync.Mutex
+	ledger   *Ledger
+	draining bool
+	hook     func(string) // tests stop the process at its points
+}
+
+// NewServer begins a boot. started is the digest that the configuration names.
+func NewServer(name, boot, started string, b Broker, log *slog.Logger) *Server {
+	return &Server{broker: b, log: log, since: time.Now(), name: name, start: started, ledger: NewLedger(boot, 256)}
+}
+
+// SetHook has f called with "admitted" before a change is taken up and with "recorded" after, before it is answered.
+func (s *Server) SetHook(f func(point string)) { s.hook = f }
+
+func (s *Server) at(point string) {
+	if s.hook != nil {
+		s.hook(point)
+	}
+}
+
+// Drain has changes refused from now on.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+}
+
+// State is the answer to GET /v1/state.
+func (s *Server) State() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := State{Name: s.name, Boot: s.ledger.Boot(), PID: os.Getpid(), Started: s.start, Applied: s.ledger.Applied(),
+		Token: s.ledger.Token(), Since: s.since, Draining: s.draining}
+	s.broker.Describe(&st)
+	return st
+}
+
+// Change takes a change up, or tells why not. Changes come one after the other.
+func (s *Server) Change(c *Change) *Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return s.ledger.say(Draining, "the broker is draining")
+	}
+	if o := s.ledger.Admit(c); o != nil {
+		s.log.Warn("control: change not taken", "id", c.ID, "code", o.Code, "reason", o.Reason, "repeated", o.Repeated)
+		return o
+	}
+	s.at("admitted")
+	var did []Effect
+	err := s.broker.Check(c.Live, c.Nodes)
+	if err == nil {
+		did = s.broker.Take(c.Live, c.Nodes)
+	}
+	o := s.ledger.Record(c, did, err)
+	s.at("recorded")
+	if err != nil {
+		s.log.Error("control: change refused", "id", c.ID, "revision", c.Revision, "reason", err)
+	} else {
+		s.log.Info("control: change taken", "id", c.ID, "revision", c.Revision, "effects", len(did))
+	}
+	return o
+}
+
+// maxChange bounds a change's text: node commands for thousands of nodes fit.
+const maxChange = 8 << 20
+
+// Handler serves GET /v1/state and POST /v1/change.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	reply := func(w http.ResponseWriter, status int, v any) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(v)
+	}
+	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { reply(w, http.StatusOK, s.State()) })
+	mux.HandleFunc("POST /v1/change", func(w http.ResponseWriter, r *http.Request) {
+		var c Change
+		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
+		d.DisallowUnknownFields() // a field that is not known cannot be promised
+		if err := d.Decode(&c); err != nil {
+			reply(w, http.StatusBadRequest, Outcome{Code: Refused, Reason: err.Error()})
+			return
+		}
+		o := s.Change(&c)
+		status := http.StatusConflict
+		switch o.Code {
+		case Taken:
+			status = http.StatusOK
+		case Refused:
+			status = http.StatusUnprocessableEntity
+		case Draining:
+			status = http.StatusServiceUnavailable
+		}
+		reply(w, status, o)
+	})
+	return mux
+}
+
+// Serve answers on ln until ctx is done.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 10 * time.Second,
+		WriteTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second, MaxHeaderBytes: 16 << 10,
+		ErrorLog: slog.NewLogLogger(s.log.Handler(), slog.LevelWarn)}
+	defer context.AfterFunc(ctx, func() { srv.Close() })()
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("control: %w", err)
+	}
+	return nil
+}
+
+// Network splits a control address: unix:PATH, or HOST:PORT on loopback.
+func Network(addr string) (network, at string, err error) {
+	if path, ok := strings.CutPrefix(addr, "unix:"); ok {
+		if len(path) == 0 || len(path) > 100 { // what the kernel takes, with some room
+			return "", "", fmt.Errorf("%q: a socket's path has 1 to 100 bytes", addr)
+		}
+		return "unix", path, nil
+	}
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return "", "", fmt.Errorf("%q is neither unix:PATH nor HOST:PORT", addr)
+	}
+	if ip := net.ParseIP(host); ip == nil || !ip.IsLoopback() {
+		return "", "", fmt.Errorf("%q is not on loopback: whoever reaches it may change the broker", addr)
+	}
+	return "tcp", addr, nil
+}
+
+// Listen opens a control address, in place of a socket that a dead process left behind.
+func Listen(addr string) (net.Listener, error) {
+	network, at, err := Network(addr)
+	if err != nil {
+		return nil, err
+	}
+	if network == "unix" {
+		if c, err := net.DialTimeout("unix", at, time.Second); err == nil {
+			c.Close()
+			return nil, fmt.Errorf("%s: another process listens there", at)
+		}
+		os.Remove(at)
+	}
+	ln, err := net.Listen(network, at)
+	if err != nil {
+		return nil, err
+	}
+	if network == "unix" {
+		if err := os.Chmod(at, 0o600); err != nil {
+			ln.Close()
+			return nil, err
+		}
+	}
+	return ln, nil
+}
+
+// Client talks to an endpoint. It makes each call once; whoever calls decides on repeats.
+type Client struct {
+	http *http.Client
+	base string
+}
+
+// Dial returns a client for an address; nothing is sent yet.
+func Dial(addr string) (*Client, error) {
+	network, at, err := Network(addr)
+	if err != nil {
+		return nil, err
+	}
+	d := &net.Dialer{}
+	tr := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return d.DialContext(ctx, network, at)
+	}}
+	return &Client{http: &http.Client{Transport: tr}, base: "http://broker/v1/"}, nil
+}
+
+// State asks what the boot holds.
+func (c *Client) State(ctx context.Context) (*State, error) {
+	var st State
+	return &st, c.call(ctx, http.MethodGet, "state", nil, &st)
+}
+
+// Change hands a change in. An error says nothing about whether it was taken.
+func (c *Client) Change(ctx context.Context, ch *Change) (*Outcome, error) {
+	var o Outcome
+	return &o, c.call(ctx, http.MethodPost, "change", ch, &o)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = strings.NewReader(string(b))
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxChange)).Decode(out); err != nil {
+		return fmt.Errorf("control: status %d: %w", resp.StatusCode, err)
+	}
+	return nil
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,15 +154,25 @@
 // Gate bounds the requests that a process has open over all its fronts.
 type Gate struct {
 	open atomic.Int64
-	max  int64
+	max  atomic.Int64
 }
 
 // NewGate returns a gate for so many.
-func NewGate(n int) *Gate { return &Gate{max: int64(n)} }
+func NewGate(n int) *Gate {
+	g := &Gate{}
+	g.SetMax(n)
+	return g
+}
+
+// SetMax changes the bound. Whoever is in stays in.
+func (g *Gate) SetMax(n int) { g.max.Store(int64(n)) }
+
+// Max is the bound.
+func (g *Gate) Max() int { return int(g.max.Load()) }
 
 // Enter counts one in, or reports that the gate is full.
 func (g *Gate) Enter() bool {
-	if g.open.Add(1) > g.max {
+	if g.open.Add(1) > g.max.Load() {
 		g.open.Add(-1)
 		return false
 	}
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -57,6 +57,13 @@
 	return ok && now.State == policy.Ready && now.Addr == n.Addr && now.Objects == n.Objects
 }
 
+// Len counts the nodes.
+func (t *Nodes) Len() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.byID)
+}
+
 // All lists the nodes.
 func (t *Nodes) All() (list []Node) {
 	t.mu.RLock()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poppyarch/internal/clock"
@@ -91,11 +92,12 @@
 	moved chan struct{}      // addr has changed; holds one
 
 	zones []string
+	known atomic.Int64 // rev, for others
 	rev   int64
 	grace int64 // how much later than its wait an answer may come
 	http  *http.Client
 	lim   *limits.Limits
-	table *core.Nodes
+	give  func(nodes []core.Node, full bool)
 	f     *policy.Facade
 	log   *slog.Logger
 }
@@ -106,16 +108,29 @@
 // New returns a client that keeps the table and the module up to date. rev is that of the list they know.
 func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
 	log *slog.Logger) *Client {
-	return &Client{
-		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, grace: lim.ListGrace, table: table, f: f, lim: lim, log: log,
+	c := &Client{
+		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, grace: lim.ListGrace, f: f, lim: lim, log: log,
 		http: &http.Client{
 			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
 				IdleConnTimeout: clock.Duration(lim.NodeIdle)},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
+	c.known.Store(rev)
+	c.give = func(nodes []core.Node, full bool) {
+		// The table goes first: what the module decides next is checked against it.
+		table.Update(nodes, full)
+		f.List(Members(nodes), full)
+	}
+	return c
 }
 
+// Deliver has lists go to f, in their order, in place of the table and the module. It is called before Run.
+func (c *Client) Deliver(f func(nodes []core.Node, full bool)) { c.give = f }
+
+// Rev is the version of the list that was delivered last; NoList where none was.
+func (c *Client) Rev() int64 { return c.known.Load() }
+
 // Move turns to another address at once, also in the middle of a call: whoever moved discovery counts the broker as
 // told soon after, whether it has asked there or not. The old list stays in force until the new one is there.
 func (c *Client) Move(addr string) {
@@ -197,9 +212,8 @@
 			}
 		}
 		c.rev = l.Rev
-		// The table goes first: what the module decides next is checked against it.
-		c.table.Update(nodes, l.All)
-		c.f.List(Members(nodes), l.All)
+		c.give(nodes, l.All)
+		c.known.Store(l.Rev)
 		for _, n := range nodes {
 			c.log.Debug("discovery: node", "node", n.ID, "state", n.State, "addr", n.Addr, "rev", l.Rev)
 		}
--- /dev/null
+++ b/internal/serve/control_test.go
@@ -0,0 +1,87 @@
+package serve
+
+import (
+	"fmt"
+	"path/filepath"
+	"testing"
+
+	"poppyarch/internal/control"
+	"poppyarch/internal/fleet/spec"
+)
+
+// A broker that takes changes while it serves: a storage node drained by an operator gets nothing new, discovery's
+// word that it is up does not bring it back, and taking the word back does; a node that discovery does not know serves
+// once it is added. A restart holds nothing of it and says so.
+func TestControlChangesTheListUnderARunningBroker(t *testing.T) {
+	r := newRig(t)
+	addr := "unix:" + filepath.Join(t.TempDir(), "c")
+	extra := fmt.Sprintf(`,"control":{"listen":%q,"started":"d1"}`, addr)
+	base, stop := r.broker(extra)
+	cl, err := control.Dial(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state := func() *control.State {
+		t.Helper()
+		st, err := cl.State(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return st
+	}
+	st := state()
+	if st.Applied != 0 || st.Started != "d1" || st.Boot == "" {
+		t.Fatalf("%+v", st)
+	}
+	calls := 0
+	change := func(nodes []spec.Node, live spec.Live) *control.Outcome {
+		t.Helper()
+		st := state()
+		calls++
+		o, err := cl.Change(t.Context(), &control.Change{ID: fmt.Sprint("c", calls), Token: 1, Boot: st.Boot, Base: st.Applied,
+			Revision: st.Applied + 1, Nodes: nodes, Live: live})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o
+	}
+	home := r.home(base, "/b/k", []byte("x"))
+	id := fmt.Sprint("s-", home)
+	o := change([]spec.Node{{ID: id, State: spec.NodeDrain}}, spec.Live{MaxOpen: 77, Log: "debug"})
+	if o.Code != control.Taken || len(o.Did) != 3 {
+		t.Fatalf("%+v", o)
+	}
+	if a := r.do("GET", base+"/b/k", nil, "X-Timeout-Ms", "300"); a.status == 200 {
+		t.Errorf("a drained node was asked: %d", a.status)
+	}
+	seen := count(r.stores[home], "GET ")
+	r.list(0, 0) // discovery says again that both are up
+	eventually(t, "the list that discovery told", func() bool { return state().ListRev >= r.disc.List(-1).Rev })
+	if a := r.do("GET", base+"/b/k", nil, "X-Timeout-Ms", "300"); a.status == 200 || count(r.stores[home], "GET ") != seen {
+		t.Errorf("discovery brought a drained node back: %d", a.status)
+	}
+	if v := state().Live; v.MaxOpen != 77 || v.Log != "debug" {
+		t.Errorf("%+v", v)
+	}
+	// The same store under a name that discovery does not know.
+	o = change([]spec.Node{{ID: id, State: spec.NodeOut}, {ID: "s-new", State: spec.NodeAdded, Addr: r.nodes[home].Addr(), Shard: home}}, spec.Live{})
+	if o.Code != control.Taken {
+		t.Fatalf("%+v", o)
+	}
+	eventually(t, "an answer from the added node", func() bool { return r.do("GET", base+"/b/k", nil).status == 200 })
+	if v := state().Live; v.MaxOpen == 77 || v.Log != "info" {
+		t.Errorf("what is no longer asked for is still in force: %+v", v)
+	}
+	if o = change([]spec.Node{{ID: "x", State: "sleeping"}}, spec.Live{}); o.Code != control.Refused {
+		t.Errorf("%+v", o)
+	}
+	if o = change(nil, spec.Live{}); o.Code != control.Taken {
+		t.Errorf("%+v", o)
+	}
+	boot := state().Boot
+	stop()
+	r.broker(extra)
+	if st := state(); st.Boot == boot || st.Applied != 0 {
+		t.Errorf("after a restart: %+v", st)
+	}
+}
--- /dev/null
+++ b/internal/serve/live.go
@@ -0,0 +1,187 @@
+package serve
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"strconv"
+	"sync"
+
+	"poppyarch/internal/config"
+	"poppyarch/internal/control"
+	"poppyarch/internal/core"
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/overlay"
+	"poppyarch/policy"
+)
+
+// live is what a running broker takes up: from its configuration at a hangup, and from the control endpoint, which
+// stands over it. Without an endpoint it only passes on.
+type live struct {
+	table  *core.Nodes
+	facade *policy.Facade
+	watch  *discovery.Client
+	gate   *core.Gate
+	level  *slog.LevelVar
+	hook   func(string)
+
+	mu   sync.Mutex
+	file spec.Live // as the configuration has it
+	over spec.Live // as the control endpoint has it
+	all  *overlay.Overlay
+}
+
+func newLive(cfg *config.Config, table *core.Nodes, f *policy.Facade, w *discovery.Client, g *core.Gate, r *Reload) *live {
+	l := &live{table: table, facade: f, watch: w, gate: g, level: &slog.LevelVar{},
+		file: spec.Live{Log: cfg.LogLevel, Discovery: cfg.Discovery, MaxOpen: cfg.Limits.MaxOpen}}
+	if r != nil {
+		l.level, l.hook = r.Level, r.Hook
+	}
+	if cfg.Control != nil {
+		l.all = overlay.New(cfg.Zones)
+		w.Deliver(l.list)
+	}
+	return l
+}
+
+// list takes in discovery's list. Its order with the operators' changes is that of the lock: what stands for a node
+// must reach the table and the module in the order in which it was decided.
+func (l *live) list(nodes []core.Node, full bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.all != nil {
+		nodes = l.all.Discovery(nodes, full)
+	}
+	l.pass(nodes, full)
+}
+
+func (l *live) pass(nodes []core.Node, full bool) {
+	l.table.Update(nodes, full) // first: what the module decides next is checked against it
+	l.facade.List(discovery.Members(nodes), full)
+}
+
+// reload takes up what a hangup brought.
+func (l *live) reload(discovery, level string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.file.Discovery, l.file.Log = discovery, level
+	l.enforce()
+}
+
+// inForce is the configuration's word where the endpoint has none.
+func (l *live) inForce() spec.Live {
+	v := l.file
+	if l.over.Log != "" {
+		v.Log = l.over.Log
+	}
+	if l.over.Discovery != "" {
+		v.Discovery = l.over.Discovery
+	}
+	if l.over.MaxOpen != 0 {
+		v.MaxOpen = l.over.MaxOpen
+	}
+	return v
+}
+
+func (l *live) enforce() {
+	v := l.inForce()
+	l.watch.Move(v.Discovery)
+	l.level.UnmarshalText([]byte(v.Log)) // checked before
+	l.gate.SetMax(v.MaxOpen)
+}
+
+// Check reports what cannot be taken up.
+func (l *live) Check(v spec.Live, nodes []spec.Node) error {
+	var level slog.Level
+	if v.Log != "" {
+		if err := level.UnmarshalText([]byte(v.Log)); err != nil {
+			return fmt.Errorf("live.log: %w", err)
+		}
+	}
+	if v.Discovery != "" {
+		if err := config.Address(v.Discovery); err != nil {
+			return fmt.Errorf("live.discovery: %w", err)
+		}
+	}
+	if v.MaxOpen < 0 {
+		return fmt.Errorf("live.max_open: %d is negative", v.MaxOpen)
+	}
+	seen := map[string]bool{}
+	for i, n := range nodes {
+		if err := n.Check(); err != nil {
+			return fmt.Errorf("nodes[%d]: %w", i, err)
+		}
+		if seen[n.ID] {
+			return fmt.Errorf("nodes[%d]: %s is there twice", i, n.ID)
+		}
+		seen[n.ID] = true
+	}
+	return nil
+}
+
+// Take takes a checked change up.
+func (l *live) Take(v spec.Live, nodes []spec.Node) (did []control.Effect) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	was := l.inForce()
+	l.over = v
+	now := l.inForce()
+	l.enforce()
+	for _, e := range []control.Effect{
+		{What: "log", From: was.Log, To: now.Log},
+		{What: "discovery", From: was.Discovery, To: now.Discovery},
+		{What: "max_open", From: strconv.Itoa(was.MaxOpen), To: strconv.Itoa(now.MaxOpen)},
+	} {
+		if e.From != e.To {
+			did = append(did, e)
+		}
+	}
+	changed := l.all.Operators(nodes)
+	for _, n := range changed {
+		old, ok := l.table.Get(n.ID)
+		did = append(did, control.Effect{What: "node " + n.ID, From: nodeState(old, ok), To: nodeState(n, n.State != policy.Gone)})
+	}
+	if len(changed) > 0 {
+		l.pass(changed, false)
+	}
+	return did
+}
+
+func nodeState(n core.Node, known bool) string {
+	switch {
+	case !known:
+		return "out"
+	case n.State == policy.Draining:
+		return "draining"
+	}
+	return "up"
+}
+
+// Describe fills in what is in force.
+func (l *live) Describe(st *control.State) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	st.Live, st.ListRev, st.Nodes, st.Open = l.inForce(), l.watch.Rev(), l.table.Len(), l.gate.Open()
+}
+
+// control serves the endpoint until ctx is done. end, called at the start of a drain, has it take no more changes.
+func (l *live) control(ctx context.Context, cfg *config.Config, behind *sync.WaitGroup, log *slog.Logger) (end func(), err error) {
+	var id [8]byte
+	rand.Read(id[:])
+	ln, err := control.Listen(cfg.Control.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("control.listen: %w", err)
+	}
+	s := control.NewServer(cfg.Name, hex.EncodeToString(id[:]), cfg.Control.Started, l, log)
+	s.SetHook(l.hook)
+	log.Info("control: listening", "addr", cfg.Control.Listen)
+	behind.Go(func() {
+		if err := s.Serve(ctx, ln); err != nil {
+			log.Error("control: ended", "err", err)
+		}
+	})
+	return s.Drain, nil
+}
--- a/internal/serve/process.go
+++ b/internal/serve/process.go
@@ -23,6 +23,11 @@
 // Process is a broker process: it sets the runtime up as the configuration says, serves, drains on SIGTERM and
 // SIGINT, and reads the configuration anew on SIGHUP. It logs to out.
 func Process(ctx context.Context, getenv func(string) string, listen Listen, out io.Writer) error {
+	return ProcessWith(ctx, getenv, listen, out, nil)
+}
+
+// ProcessWith is Process with a hook into the control endpoint, so that tests can kill it at the points named there.
+func ProcessWith(ctx context.Context, getenv func(string) string, listen Listen, out io.Writer, hook func(string)) error {
 	// First of all, since a SIGHUP that nobody handles ends the process. It is handled until the process ends, in a
 	// drain as well; two in quick succession are one, read after the second.
 	hup := make(chan os.Signal, 1)
@@ -40,7 +45,7 @@
 	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: &level})).With("broker", cfg.Name)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return Run(ctx, cfg, listen, &Reload{Hangup: hup, Getenv: getenv, Level: &level}, log)
+	return Run(ctx, cfg, listen, &Reload{Hangup: hup, Getenv: getenv, Level: &level, Hook: hook}, log)
 }
 
 // Reload is how a running broker takes up a new configuration.
@@ -48,10 +53,11 @@
 	Hangup <-chan os.Signal
 	Getenv func(string) string
 	Level  *slog.LevelVar
+	Hook   func(string) // of the control endpoint; nil but in tests
 }
 
 // run reads the configuration at each hangup until ctx is done. A faulty one changes nothing.
-func (r *Reload) run(ctx context.Context, cfg *config.Config, move func(string), log *slog.Logger) {
+func (r *Reload) run(ctx context.Context, cfg *config.Config, l *live, log *slog.Logger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -64,8 +70,7 @@
 			continue
 		}
 		cfg = next
-		move(cfg.Discovery)
-		r.Level.UnmarshalText([]byte(cfg.LogLevel)) // checked when it was read
+		l.reload(cfg.Discovery, cfg.LogLevel)
 		log.Info("reload: configuration read", "discovery", cfg.Discovery, "log", cfg.LogLevel)
 		if len(restart) > 0 {
 			log.Warn("reload: other keys have changed, which take effect at the next start", "keys", restart)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -44,8 +44,10 @@
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	table.Update(known, true)
-	facade.List(discovery.Members(known), true)
+	gate := core.NewGate(lim.MaxOpen)
+	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
+	l := newLive(cfg, table, facade, watch, gate, reload)
+	l.list(known, true)
 
 	// What the fronts stand on outlives them: it stops when they have drained.
 	back, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -57,14 +59,19 @@
 	if cfg.Listen != "" && cfg.Object != nil {
 		clients, nodes = clients/2, nodes/2
 	}
-	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
 	behind.Go(func() { core.Loop(back, facade, c) })
 	behind.Go(func() { watch.Run(back) })
 	if reload != nil {
-		behind.Go(func() { reload.run(back, cfg, watch.Move, log) })
+		behind.Go(func() { reload.run(back, cfg, l, log) })
+	}
+	if cfg.Control != nil {
+		end, err := l.control(back, cfg, &behind, log)
+		if err != nil {
+			return err
+		}
+		defer context.AfterFunc(ctx, end)()
 	}
 
-	gate := core.NewGate(lim.MaxOpen)
 	fronts := map[string]front{}
 	if cfg.Listen != "" {
 		conns := pool.New(lim, nodes, c)
