--- a/internal/control/ledger.go
+++ b/internal/control/ledger.go
@@ -18,6 +18,7 @@
 	Boot     string      `json:"boot"`     // the boot that it is meant for
 	Base     uint64      `json:"base"`     // the revision that the boot must hold
 	Revision uint64      `json:"revision"` // and the one it holds then; greater than Base
+	Rev      uint64      `json:"rev"`      // the fleet's revision that it is of, for people
 	Live     spec.Live   `json:"live"`
 	Nodes    []spec.Node `json:"nodes"`
 }
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -24,6 +24,7 @@
 	PID      int       `json:"pid"`
 	Started  string    `json:"started"` // digest of its start settings, as its configuration names it
 	Applied  uint64    `json:"applied"` // revision that it holds; 0: what it started with
+	Rev      uint64    `json:"rev"`     // the fleet's revision that this is of
 	Token    uint64    `json:"token"`
 	Since    time.Time `json:"since"`
 	Draining bool      `json:"draining,omitempty"`
@@ -54,6 +55,7 @@
 	mu       sync.Mutex
 	ledger   *Ledger
 	draining bool
+	rev      uint64
 	hook     func(string) // tests stop the process at its points
 }
 
@@ -83,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := State{Name: s.name, Boot: s.ledger.Boot(), PID: os.Getpid(), Started: s.start, Applied: s.ledger.Applied(),
-		Token: s.ledger.Token(), Since: s.since, Draining: s.draining}
+		Rev: s.rev, Token: s.ledger.Token(), Since: s.since, Draining: s.draining}
 	s.broker.Describe(&st)
 	return st
 }
@@ -104,6 +106,7 @@
 	err := s.broker.Check(c.Live, c.Nodes)
 	if err == nil {
 		did = s.broker.Take(c.Live, c.Nodes)
+		s.rev = c.Rev
 	}
 	o := s.ledger.Record(c, did, err)
 	s.at("recorded")
@@ -228,13 +231,15 @@
 // State asks what the boot holds.
 func (c *Client) State(ctx context.Context) (*State, error) {
 	var st State
-	return &st, c.call(ctx, http.MethodGet, "state", nil, &st)
+	err := c.call(ctx, http.MethodGet, "state", nil, &st)
+	return &st, err
 }
 
 // Change hands a change in. An error says nothing about whether it was taken.
 func (c *Client) Change(ctx context.Context, ch *Change) (*Outcome, error) {
 	var o Outcome
-	return &o, c.call(ctx, http.MethodPost, "change", ch, &o)
+	err := c.call(ctx, http.MethodPost, "change", ch, &o)
+	return &o, err
 }
 
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
--- /dev/null
+++ b/internal/fleet/api/api.go
@@ -0,0 +1,131 @@
+// Package api is what manager, agents and the command line say to each other over HTTP, and the client's side of it.
+package api
+
+import (
+	"errors"
+
+	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/fleet/state"
+)
+
+// Errors that cross the wire by their codes.
+var (
+	ErrEpoch   = errors.New("the manager has restarted")            // what was agreed with its former life is void
+	ErrStorage = errors.New("the manager cannot write its journal") // nothing has changed
+	ErrRequest = errors.New("faulty request")                       // it would fail again
+	ErrHistory = errors.New("the manager has lost history")         // it is not the one that this agent followed
+	ErrDown    = errors.New("no manager answers")                   // whether it acted is unknown
+)
+
+// codes name errors on the wire.
+var codes = map[string]error{
+	"epoch": ErrEpoch, "storage": ErrStorage, "request": ErrRequest, "conflict": state.ErrConflict, "overlap": state.ErrOverlap,
+	"unknown": state.ErrUnknown, "fenced": state.ErrFenced, "state": state.ErrState,
+}
+
+// Code is an error's name on the wire, or "request" for any that has none.
+func Code(err error) string {
+	for code, e := range codes {
+		if errors.Is(err, e) {
+			return code
+		}
+	}
+	return "request"
+}
+
+// Fault is an error as it crosses the wire.
+type Fault struct {
+	Code  string `json:"code"`
+	Error string `json:"error"`
+}
+
+// Registration is the answer to an agent that begins.
+type Registration struct {
+	Token   uint64 `json:"token"`
+	Epoch   string `json:"epoch"` // of this life of the manager
+	Fleet   string `json:"fleet"` // of its journal, for good
+	Edition uint64 `json:"edition"`
+}
+
+// ReportCall is an agent's report.
+type ReportCall struct {
+	Agent   string         `json:"agent"`
+	Token   uint64         `json:"token"`
+	Epoch   string         `json:"epoch"`
+	Seq     uint64         `json:"seq"`
+	Have    uint64         `json:"have"` // version of the assignments that it works by
+	Full    bool           `json:"full"`
+	Reports []state.Report `json:"reports"`
+}
+
+// AssignCall asks for assignments newer than Have, and waits for some.
+type AssignCall struct {
+	Agent  string `json:"agent"`
+	Token  uint64 `json:"token"`
+	Epoch  string `json:"epoch"`
+	Have   uint64 `json:"have"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// Assignments is the answer.
+type Assignments struct {
+	Version uint64             `json:"version"`
+	Full    bool               `json:"full"` // List is all there is
+	List    []state.Assignment `json:"list"`
+	Nodes   []spec.Node        `json:"nodes"`
+	Edition uint64             `json:"edition"`
+}
+
+// ApplyCall has the manager want another fleet.
+type ApplyCall struct {
+	state.Command
+	Spec     spec.Spec      `json:"spec"`
+	Strategy state.Strategy `json:"strategy"`
+}
+
+// NodesCall changes the operators' word on storage nodes.
+type NodesCall struct {
+	state.Command
+	Changes []state.NodeChange `json:"changes"`
+}
+
+// SteerCall pauses, resumes or aborts a rollout; Rev 0 means the one under way.
+type SteerCall struct {
+	state.Command
+	Rev uint64      `json:"rev"`
+	To  state.Phase `json:"to"`
+}
+
+// RollbackCall goes back to an earlier revision.
+type RollbackCall struct {
+	state.Command
+	To        uint64         `json:"to"`
+	WithNodes bool           `json:"with_nodes"`
+	Strategy  state.Strategy `json:"strategy"`
+}
+
+// Reply answers a command.
+type Reply struct {
+	Result state.Result `json:"result"`
+	Plan   *state.Plan  `json:"plan,omitempty"`
+}
+
+// Overview is the fleet for people.
+type Overview struct {
+	Fleet       string                `json:"fleet"`
+	Rev         uint64                `json:"rev"`
+	Settled     bool                  `json:"settled"`
+	Unavailable int                   `json:"unavailable"`
+	Enabled     int                   `json:"enabled"`
+	Differing   int                   `json:"differing"`
+	Instances   []state.Status        `json:"instances"`
+	Agents      []state.AgentStatus   `json:"agents"`
+	Rollouts    []state.RolloutStatus `json:"rollouts"`
+	Nodes       []spec.Node           `json:"nodes"`
+	Journal     string                `json:"journal,omitempty"` // what is wrong with it
+}
+
+// History lists revisions, newest first.
+type History struct {
+	Revisions []state.Revision `json:"revisions"`
+}
--- /dev/null
+++ b/internal/fleet/call/call.go
@@ -0,0 +1,81 @@
+// Package call decides on repeats of calls between the parts of a fleet: how long to wait, whether the budget
+// allows another, and when to stop calling for a while. No I/O, no clock: times come in as microseconds.
+package call
+
+// Policy bounds the repeats of one call. Times are microseconds.
+type Policy struct {
+	Tries int   // in all
+	First int64 // wait before the second try; doubles
+	Most  int64
+}
+
+// Wait is how long to wait before try n, counted from 1 for the first repeat. It is spread over the whole of the
+// doubled wait, so that callers that failed together do not come back together.
+func (p Policy) Wait(n int, rnd float64) int64 {
+	w := p.First
+	for range n - 1 {
+		if w >= p.Most {
+			break
+		}
+		w *= 2
+	}
+	return int64(rnd * float64(min(w, p.Most)))
+}
+
+// Budget bounds repeats over all calls: each call earns a part of one, each repeat takes one.
+type Budget struct {
+	most, earn, have float64
+}
+
+// NewBudget returns a full budget.
+func NewBudget(most, earn float64) *Budget { return &Budget{most, earn, most} }
+
+// Call counts a first try.
+func (b *Budget) Call() { b.have = min(b.most, b.have+b.earn) }
+
+// Repeat takes a repeat, or reports that there is none left.
+func (b *Budget) Repeat() bool {
+	if b.have < 1 {
+		return false
+	}
+	b.have--
+	return true
+}
+
+// Breaker stops calls to a peer that fails again and again, and lets a single one through now and then.
+type Breaker struct {
+	After       int   // failures in a row that open it
+	First, Most int64 // how long it stays open; doubles
+	fails       int
+	open        int64 // its present length
+	until       int64
+	probing     bool
+}
+
+// Allow reports whether a call may be made now, and if not, when to ask again.
+func (b *Breaker) Allow(now int64) (ok bool, at int64) {
+	switch {
+	case b.fails < b.After:
+		return true, 0
+	case now < b.until:
+		return false, b.until
+	case b.probing:
+		return false, now + b.First
+	}
+	b.probing = true
+	return true, 0
+}
+
+// Done takes in how an allowed call went.
+func (b *Breaker) Done(now int64, ok bool, rnd float64) {
+	b.probing = false
+	if ok {
+		b.fails, b.open = 0, 0
+		return
+	}
+	b.fails++
+	if b.fails >= b.After {
+		b.open = min(max(2*b.open, b.First), b.Most)
+		b.until = now + b.open/2 + int64(rnd*float64(b.open/2))
+	}
+}
--- a/internal/fleet/state/rollout.go
+++ b/internal/fleet/state/rollout.go
@@ -322,7 +322,7 @@
 	i.member, i.prior = m, i.want
 	// One that was told to end and is wanted again may already be on its way out: it goes the whole way round.
 	i.disturbed = i.disturbed || to != nil && to.Restart(i.want) && i.joined
-	i.want, i.rev = to, m.r.rev
+	i.want, i.rev, i.ed = to, m.r.rev, s.edition
 	i.digest = ""
 	if to != nil {
 		i.digest = to.Start.Digest()
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -13,7 +13,10 @@
 // counted from 1; 0 is none. What agents have seen is not in it: they tell it again.
 type snapshot struct {
 	Rev       uint64            `json:"rev"`
+	Fleet     string            `json:"fleet"`
+	Edition   uint64            `json:"edition"`
 	NodesRev  uint64            `json:"nodes_rev"`
+	NodesEd   uint64            `json:"nodes_edition"`
 	Token     uint64            `json:"token"`
 	Nodes     []spec.Node       `json:"nodes"`
 	Configs   map[string]string `json:"configs"`
@@ -46,6 +49,7 @@
 	Want      int    `json:"want"`
 	Prior     int    `json:"prior"`
 	Rev       uint64 `json:"rev"`
+	Ed        uint64 `json:"edition"`
 	Agent     string `json:"agent"`
 	Joined    bool   `json:"joined"`
 	Disturbed bool   `json:"disturbed"`
@@ -124,7 +128,7 @@
 // Snapshot is what Restore reads.
 func (s *State) Snapshot() ([]byte, error) {
 	t := &table{place: map[*spec.Instance]int{}}
-	o := snapshot{Rev: s.rev, NodesRev: s.nodesRev, Token: s.token, Nodes: s.nodes, Configs: s.configs, Head: t.all(s.head),
+	o := snapshot{Fleet: s.fleet, Rev: s.rev, Edition: s.edition, NodesEd: s.nodesEd, NodesRev: s.nodesRev, Token: s.token, Nodes: s.nodes, Configs: s.configs, Head: t.all(s.head),
 		Base: t.all(s.base), Behind: slices.Sorted(maps.Keys(s.behind)), Agents: map[string]uint64{}}
 	for _, v := range s.revisions {
 		c := *v
@@ -136,7 +140,7 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.inst)) {
 		i := s.inst[name]
-		o.Inst = append(o.Inst, snapInstance{Name: name, Want: t.put(i.want), Prior: t.put(i.prior), Rev: i.rev,
+		o.Inst = append(o.Inst, snapInstance{Name: name, Want: t.put(i.want), Prior: t.put(i.prior), Rev: i.rev, Ed: i.ed,
 			Agent: i.agent.name, Joined: i.joined, Disturbed: i.disturbed})
 	}
 	if s.active != nil {
@@ -202,6 +206,8 @@
 	}
 	s := New(lim)
 	s.rev, s.nodesRev, s.token, s.nodes = o.Rev, o.NodesRev, o.Token, o.Nodes
+	s.fleet = o.Fleet
+	s.edition, s.nodesEd = o.Edition, o.NodesEd
 	if o.Configs != nil {
 		s.configs = o.Configs
 	}
@@ -223,7 +229,7 @@
 		s.agent(name).token = token
 	}
 	for _, v := range o.Inst {
-		i := &instance{name: v.Name, want: get(v.Want), prior: get(v.Prior), rev: v.Rev, joined: v.Joined, disturbed: v.Disturbed}
+		i := &instance{name: v.Name, want: get(v.Want), prior: get(v.Prior), rev: v.Rev, ed: v.Ed, joined: v.Joined, disturbed: v.Disturbed}
 		if i.want != nil {
 			i.digest = i.want.Start.Digest()
 		}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -16,6 +16,8 @@
 	now int64 // the last time that came in
 
 	// What is wanted.
+	fleet     string
+	edition   uint64                    // records applied so far
 	rev       uint64                    // newest revision
 	head      map[string]*spec.Instance // as the newest revision wants it
 	base      map[string]*spec.Instance // as the rollout begun last wants it
@@ -24,6 +26,7 @@
 	revisions []*Revision
 	nodes     []spec.Node // operators' changes, by id
 	nodesRev  uint64
+	nodesEd   uint64 // edition of the last node change
 
 	// Who carries it out.
 	token  uint64
@@ -87,6 +90,7 @@
 	want   *spec.Instance // released; nil: it should end
 	digest string         // of want.Start
 	rev    uint64         // that released want
+	ed     uint64         // edition of the release
 	prior  *spec.Instance // what was released before, until the change has been carried out
 	agent  *agent         // who holds it
 	joined bool           // it has been available once: from then on its absence counts
@@ -112,7 +116,10 @@
 // Apply takes in a record that is on disk. Records of one journal come in their order; one that does not fit is an
 // error, and then the state is not to be used further.
 func (s *State) Apply(r *Record) error {
+	s.edition++
 	switch r.Kind {
+	case KindFleet:
+		s.fleet = r.Fleet
 	case KindAgent:
 		s.applyAgent(r)
 	case KindRevision:
@@ -123,7 +130,7 @@
 		if r.Rev != s.rev+1 {
 			return fmt.Errorf("record nodes: revision %d after %d", r.Rev, s.rev)
 		}
-		s.rev, s.nodes, s.nodesRev = r.Rev, r.Nodes, r.Rev
+		s.rev, s.nodes, s.nodesRev, s.nodesEd = r.Rev, r.Nodes, r.Rev, s.edition
 		s.remember(&Revision{Rev: r.Rev, At: r.At, By: r.By, Note: r.Note, Command: r.Command, Nodes: r.Nodes})
 		s.retarget()
 	case KindHandover, KindGone:
@@ -187,7 +194,7 @@
 		s.configs[d] = text
 	}
 	if r.WithNodes {
-		s.nodes, s.nodesRev = r.Nodes, r.Rev
+		s.nodes, s.nodesRev, s.nodesEd = r.Nodes, r.Rev, s.edition
 		s.retarget()
 	}
 	v := &Revision{Rev: r.Rev, At: r.At, By: r.By, Note: r.Note, Command: r.Command, Back: r.Back, From: r.From, Nodes: s.nodes}
@@ -303,6 +310,12 @@
 	return a
 }
 
+// Fleet names the journal that this state is of; empty: it has not begun.
+func (s *State) Fleet() string { return s.fleet }
+
+// Edition counts the records so far. It only rises as long as no history is lost.
+func (s *State) Edition() uint64 { return s.edition }
+
 // Register is the record that makes the caller the newest agent of that name.
 func (s *State) Register(name string, at int64) *Record {
 	return &Record{Kind: KindAgent, Agent: name, Token: s.token + 1, At: at}
@@ -429,8 +442,10 @@
 	a.changed[name] = a.version
 }
 
-// target is the revision that an instance's broker should hold.
-func (s *State) target(i *instance) uint64 { return max(i.rev, s.nodesRev) }
+// target is the edition that an instance's broker should hold: that of the last record which changed what it should
+// be. A revision's number would not do: a rollout goes on after a node change with a higher number has gone to all, and
+// what it then releases must not look older than that.
+func (s *State) target(i *instance) uint64 { return max(i.ed, s.nodesEd) }
 
 // retarget follows a node change: it concerns every instance.
 func (s *State) retarget() {
@@ -549,7 +564,8 @@
 type Assignment struct {
 	Name   string         `json:"name"`
 	Want   *spec.Instance `json:"want"`           // nil: end it
-	Target uint64         `json:"target"`         // revision that its broker shall hold
+	Target uint64         `json:"target"`         // edition that its broker shall hold
+	Rev    uint64         `json:"rev"`            // revision that it is of
 	Drop   bool           `json:"drop,omitempty"` // it is another's: forget it once it has ended
 }
 
@@ -584,7 +600,7 @@
 	if i.want == nil || i.want.Agent != i.agent.name {
 		return Assignment{Name: i.name, Drop: true}
 	}
-	return Assignment{Name: i.name, Want: i.want, Target: s.target(i)}
+	return Assignment{Name: i.name, Want: i.want, Target: s.target(i), Rev: i.rev}
 }
 
 // NodeChanges are the operators' changes to the node list, and the revision they are of.
--- a/internal/fleet/state/types.go
+++ b/internal/fleet/state/types.go
@@ -126,12 +126,12 @@
 	Proc     Proc   `json:"proc"`
 	PID      int    `json:"pid,omitempty"`
 	Boot     string `json:"boot,omitempty"`    // of the broker, in its own words
-	Applied  uint64 `json:"applied,omitempty"` // the revision that this boot holds, in its own words
+	Applied  uint64 `json:"applied,omitempty"` // the edition that this boot holds, in its own words
 	Started  string `json:"started,omitempty"` // digest of the start settings of this process
 	List     int64  `json:"list,omitempty"`    // version of the node list that it works by
 	Nodes    int    `json:"nodes,omitempty"`   // entries of it
 	Healthy  bool   `json:"healthy,omitempty"` // its fronts answer
-	Refused  uint64 `json:"refused,omitempty"` // a revision that this boot turned down
+	Refused  uint64 `json:"refused,omitempty"` // an edition that this boot turned down
 	Crashes  int    `json:"crashes,omitempty"`
 	Flapping bool   `json:"flapping,omitempty"`
 	Error    string `json:"error,omitempty"`
@@ -154,6 +154,7 @@
 
 // The kinds of records.
 const (
+	KindFleet    Kind = "fleet"    // the first of a journal: it is Fleet's
 	KindAgent    Kind = "agent"    // Agent registered and got Token
 	KindRevision Kind = "revision" // Rev changes Set and begins a rollout
 	KindNodes    Kind = "nodes"    // Rev changes the operators' node changes to Nodes
@@ -186,6 +187,7 @@
 	Phase     Phase             `json:"phase,omitempty"`
 	Reason    string            `json:"reason,omitempty"`
 	Agent     string            `json:"agent,omitempty"`
+	Fleet     string            `json:"fleet,omitempty"`
 	Token     uint64            `json:"token,omitempty"`
 }
 
--- a/internal/fleet/state/view.go
+++ b/internal/fleet/state/view.go
@@ -14,7 +14,8 @@
 	Agent     string `json:"agent"`
 	Domain    string `json:"domain"`
 	Enabled   bool   `json:"enabled"`
-	Target    uint64 `json:"target"`  // revision that it should hold
+	Rev       uint64 `json:"rev"`     // revision that it was released with
+	Target    uint64 `json:"target"`  // edition that it should hold
 	Current   bool   `json:"current"` // it is known to hold it
 	Available bool   `json:"available"`
 	Why       string `json:"why,omitempty"` // it is not current
@@ -56,7 +57,7 @@
 	case i.seen.Started != i.digest:
 		return "runs with other start settings"
 	case i.seen.Applied != s.target(i):
-		return fmt.Sprintf("holds revision %d", i.seen.Applied)
+		return fmt.Sprintf("holds edition %d, not %d", i.seen.Applied, s.target(i))
 	case !i.seen.Healthy:
 		return "its fronts do not answer"
 	}
@@ -64,7 +65,7 @@
 }
 
 func (s *State) status(i *instance) Status {
-	st := Status{Name: i.name, Agent: i.agent.name, Target: s.target(i), Current: s.current(i), Available: i.available(),
+	st := Status{Name: i.name, Agent: i.agent.name, Rev: i.rev, Target: s.target(i), Current: s.current(i), Available: i.available(),
 		Why: s.why(i), Age: -1, Seen: i.seen}
 	if i.want != nil {
 		st.Domain, st.Enabled = i.want.FailureDomain(), i.want.Enabled
