--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,7 +59,10 @@
 		return c, err
 	}
 	wanted := map[string]inventory.Instance{}
-	for _, in := range list {
+	list = slices.Clone(list)
+	for i, in := range list {
+		list[i] = in.Bare()
+		in = list[i]
 		wanted[in.Name] = in
 	}
 	for _, name := range a.names() {
--- a/internal/agent/process.go
+++ b/internal/agent/process.go
@@ -33,6 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return ComposeText(in, text, nil)
+}
+
+// ComposeText does the same with the text of that file at hand. control, if any, sets up the control endpoint.
+func ComposeText(in inventory.Instance, text []byte, control *config.Control) ([]byte, error) {
 	var doc map[string]json.RawMessage
 	if err := json.Unmarshal(text, &doc); err != nil {
 		return nil, fmt.Errorf("%s: %w", in.Config, err)
@@ -58,7 +63,7 @@
 	put(doc, "discovery", in.Discovery, in.Discovery != "")
 	put(doc, "log", in.Log, in.Log != "")
 	delete(doc, "seed") // each start draws its own
-	err = nested("limits", func(l map[string]json.RawMessage) {
+	err := nested("limits", func(l map[string]json.RawMessage) {
 		put(l, "cores", in.Cores, in.Cores > 0)
 		put(l, "memory_mb", in.MemoryMB, in.MemoryMB > 0)
 		put(l, "sockets", in.Sockets, in.Sockets > 0)
@@ -69,6 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if control != nil {
+		put(doc, "control", control, true)
+	}
 	if in.ObjectListen == "" {
 		delete(doc, "object") // its address would be every instance's
 	}
--- a/internal/fleet/call/call.go
+++ b/internal/fleet/call/call.go
@@ -66,6 +66,9 @@
 	return true, 0
 }
 
+// Release takes an allowed call back that was not made.
+func (b *Breaker) Release() { b.probing = false }
+
 // Done takes in how an allowed call went.
 func (b *Breaker) Done(now int64, ok bool, rnd float64) {
 	b.probing = false
--- a/internal/fleet/reconcile/reconcile.go
+++ b/internal/fleet/reconcile/reconcile.go
@@ -331,6 +331,12 @@
 	}
 }
 
+// NotSent takes in that a command that Next had begun could not be written down, and so was not sent.
+func (m *Mind) NotSent() {
+	m.Pending = nil
+	m.br.Release()
+}
+
 func (m *Mind) passed(now int64) {
 	m.fails = 0
 	m.br.Done(now, true, 0)
--- a/internal/fleet/state/rollout.go
+++ b/internal/fleet/state/rollout.go
@@ -351,7 +351,7 @@
 		m.ok = ok
 		return
 	}
-	if i := s.inst[m.name]; i != nil && !ok && i.known {
+	if i := s.inst[m.name]; i != nil && !ok && i.known && i.agent.changed[i.name] == 0 { // it speaks of this change
 		switch {
 		case i.want != nil && i.seen.Refused != 0 && i.seen.Refused == s.target(i):
 			r.suspect[m.name] = "turned down by the broker: " + i.seen.Error
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -355,18 +355,6 @@
 	} else {
 		a.place = s.heard.PushBack(a)
 	}
-	if have = min(have, a.version); have > a.acked {
-		a.acked = have
-		for n, v := range a.changed {
-			if v > have {
-				continue
-			}
-			delete(a.changed, n)
-			if i := a.insts[n]; i != nil {
-				s.weigh(i)
-			}
-		}
-	}
 	told := map[string]bool{}
 	for k := range reports {
 		i := a.insts[reports[k].Name]
@@ -392,6 +380,19 @@
 			}
 		}
 	}
+	// After the reports: what was seen before it was told is no word on it.
+	if have = min(have, a.version); have > a.acked {
+		a.acked = have
+		for n, v := range a.changed {
+			if v > have {
+				continue
+			}
+			delete(a.changed, n)
+			if i := a.insts[n]; i != nil {
+				s.weigh(i)
+			}
+		}
+	}
 	if a.silent {
 		a.silent = false
 		for _, i := range a.insts { // whoever was weighed as unknown is known again
--- /dev/null
+++ b/internal/fleet/supervisor/exec.go
@@ -0,0 +1,136 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"poppyarch/internal/agent"
+	"poppyarch/internal/config"
+	"poppyarch/internal/control"
+	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/inventory"
+	"poppyarch/internal/proc"
+)
+
+// Exec runs brokers as processes of this machine. It is both a Machine and its Brokers.
+type Exec struct {
+	Program string   // poppyarch itself
+	Args    []string // what makes it a broker; nil: serve
+	Env     []string // besides the agent's own
+	Dir     string   // for the instances' configurations, sockets and logs
+}
+
+// Instance turns an instance into the inventory's form.
+func Instance(in *spec.Instance) inventory.Instance {
+	return inventory.Instance{Name: in.Name, Listen: in.Start.Listen, ObjectListen: in.Start.ObjectListen, Cores: in.Start.Cores,
+		MemoryMB: in.Start.MemoryMB, Sockets: in.Start.Sockets, Enabled: in.Enabled}
+}
+
+func (e *Exec) control(name string) string { return "unix:" + filepath.Join(e.Dir, name+".ctl") }
+
+// Start starts a broker with the start settings of in. What it takes up live comes later, by its control endpoint.
+func (e *Exec) Start(in *spec.Instance, text, mark string) (Process, error) {
+	file, err := agent.ComposeText(Instance(in), []byte(text), &config.Control{Listen: e.control(in.Name), Started: in.Start.Digest()})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(e.Dir, in.Name+".json")
+	if err := os.WriteFile(path, file, 0o600); err != nil {
+		return nil, err
+	}
+	out, err := os.OpenFile(filepath.Join(e.Dir, in.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer out.Close()
+	args := e.Args
+	if args == nil {
+		args = []string{"serve"}
+	}
+	cmd := exec.Command(e.Program, args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	for _, v := range os.Environ() {
+		key, _, _ := strings.Cut(v, "=")
+		if key != "LB_NAME" && key != "LB_LISTEN" && key != "LB_DISCOVERY" && key != "LB_CONFIG" && key != proc.MarkKey {
+			cmd.Env = append(cmd.Env, v)
+		}
+	}
+	cmd.Env = append(append(cmd.Env, e.Env...), "LB_CONFIG="+path)
+	id, exited, err := proc.Start(cmd, mark)
+	if err != nil {
+		return nil, err
+	}
+	p := &child{id: id, done: exited}
+	if p.handle, err = proc.Open(id); err != nil && !errors.Is(err, proc.ErrGone) {
+		cmd.Process.Kill()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Adopt takes hold of a broker that an earlier agent started.
+func (e *Exec) Adopt(id proc.Identity) (Process, error) {
+	h, err := proc.Open(id)
+	if err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	go func() {
+		<-h.Done()
+		done <- errors.New("ended; how is known only to the agent that started it")
+	}()
+	return &child{id: id, handle: h, done: done}, nil
+}
+
+// Find looks for a broker by its mark.
+func (e *Exec) Find(mark string) (proc.Identity, bool) { return proc.FindMark(mark) }
+
+type child struct {
+	id     proc.Identity
+	handle *proc.Handle // nil: it had ended at once
+	done   <-chan error
+}
+
+func (c *child) Identity() proc.Identity { return c.id }
+func (c *child) Done() <-chan error      { return c.done }
+func (c *child) Terminate() error        { return c.signal(syscall.SIGTERM) }
+func (c *child) Kill() error             { return c.signal(syscall.SIGKILL) }
+
+func (c *child) signal(sig syscall.Signal) error {
+	if c.handle == nil {
+		return proc.ErrGone
+	}
+	return c.handle.Signal(sig)
+}
+
+// Look asks a broker what it holds and whether its fronts answer.
+func (e *Exec) Look(ctx context.Context, in *spec.Instance) (*control.State, bool, error) {
+	c, err := control.Dial(e.control(in.Name))
+	if err != nil {
+		return nil, false, err
+	}
+	st, err := c.State(ctx)
+	if err != nil {
+		return nil, false, err
+	}
+	return st, (&agent.Exec{}).Ready(ctx, Instance(in)), nil
+}
+
+// Change hands a broker a change.
+func (e *Exec) Change(ctx context.Context, in *spec.Instance, ch *control.Change) (*control.Outcome, error) {
+	c, err := control.Dial(e.control(in.Name))
+	if err != nil {
+		return nil, err
+	}
+	o, err := c.Change(ctx, ch)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", in.Name, err)
+	}
+	return o, nil
+}
--- a/internal/inventory/inventory.go
+++ b/internal/inventory/inventory.go
@@ -23,6 +23,19 @@
 	MemoryMB     int     `json:"memory_mb,omitempty"`
 	Sockets      int     `json:"sockets,omitempty"`
 	Enabled      bool    `json:"enabled"`
+
+	// For a fleet; a single agent does without.
+	Agent   string `json:"agent,omitempty"`    // who runs it
+	Domain  string `json:"domain,omitempty"`   // what fails together
+	Labels  string `json:"labels,omitempty"`   // KEY=VALUE, separated by commas
+	Groups  string `json:"groups,omitempty"`   // of a YAML inventory, separated by commas
+	MaxOpen int    `json:"max_open,omitempty"` // requests taken and not answered
+}
+
+// Bare is the instance without what only a fleet's manager looks at.
+func (i Instance) Bare() Instance {
+	i.Agent, i.Domain, i.Labels, i.Groups, i.MaxOpen = "", "", "", "", 0
+	return i
 }
 
 // value is a setting with the line that set it.
@@ -33,9 +46,10 @@
 
 // host is an instance before its settings are checked.
 type host struct {
-	name string
-	line int
-	vars map[string]value
+	name   string
+	line   int
+	vars   map[string]value
+	groups []string
 }
 
 // Error names the file, line and key of what is wrong.
@@ -97,10 +111,11 @@
 			if !ok || v.text == "" {
 				continue
 			}
-			if other := listens[v.text]; other != "" {
+			where := in.Agent + " " + v.text // machines may each have the same loopback addresses
+			if other := listens[where]; other != "" {
 				return nil, &Error{path, v.line, h.name + "." + key, "address " + v.text + " is also " + other + "'s"}
 			}
-			listens[v.text] = h.name
+			listens[where] = h.name
 		}
 		out = append(out, in)
 	}
@@ -127,6 +142,10 @@
 		}
 		return nil
 	},
+	"agent":     func(i *Instance, s string) error { i.Agent = s; return plainName(s) },
+	"domain":    func(i *Instance, s string) error { i.Domain = s; return plainName(s) },
+	"labels":    func(i *Instance, s string) error { i.Labels = s; _, err := ParseLabels(s); return err },
+	"max_open":  func(i *Instance, s string) error { return whole(s, &i.MaxOpen) },
 	"memory_mb": func(i *Instance, s string) error { return whole(s, &i.MemoryMB) },
 	"sockets":   func(i *Instance, s string) error { return whole(s, &i.Sockets) },
 	"enabled": func(i *Instance, s string) (err error) {
@@ -137,6 +156,32 @@
 	},
 }
 
+func plainName(s string) error {
+	if !validName(s) {
+		return fmt.Errorf("%q is not a name of up to 64 letters, digits, '-', '_' and '.'", s)
+	}
+	return nil
+}
+
+// ParseLabels reads KEY=VALUE, separated by commas.
+func ParseLabels(s string) (map[string]string, error) {
+	out := map[string]string{}
+	for _, part := range strings.Split(s, ",") {
+		if part = strings.TrimSpace(part); part == "" {
+			continue
+		}
+		key, v, ok := strings.Cut(part, "=")
+		if !ok || !validName(key) {
+			return nil, fmt.Errorf("%q is not KEY=VALUE", part)
+		}
+		if _, twice := out[key]; twice {
+			return nil, fmt.Errorf("label %s is given twice", key)
+		}
+		out[key] = v
+	}
+	return out, nil
+}
+
 func whole(s string, to *int) (err error) {
 	if *to, err = strconv.Atoi(s); err != nil || *to <= 0 {
 		return fmt.Errorf("%q is not a whole number above 0", s)
@@ -174,7 +219,7 @@
 
 // instance checks a host's settings.
 func (h *host) instance(path string) (Instance, error) {
-	in := Instance{Name: h.name, Enabled: true}
+	in := Instance{Name: h.name, Enabled: true, Groups: strings.Join(h.groups, ",")}
 	if !validName(h.name) {
 		return in, &Error{path, h.line, h.name, "a name is up to 64 letters, digits, '-', '_' and '.'"}
 	}
--- a/internal/inventory/inventory_test.go
+++ b/internal/inventory/inventory_test.go
@@ -35,9 +35,9 @@
 	}
 	want := []Instance{
 		// n1 is in olten, in proof below it, and in spare: proof lies deeper than spare and wins.
-		{Name: "n1", Config: "/etc/p/base.json", Listen: "127.0.0.1:7001", Discovery: "127.0.0.1:8500", Log: "debug", Cores: 0.5, MemoryMB: 192},
-		{Name: "n2", Config: "/etc/p/base.json", Listen: "127.0.0.1:7002", Discovery: "127.0.0.1:8500", Log: "warn", Cores: 2, MemoryMB: 64, Enabled: true},
-		{Name: "n3", Config: "/etc/p/base.json", Listen: "127.0.0.1:7003", Log: "error", MemoryMB: 128},
+		{Name: "n1", Config: "/etc/p/base.json", Listen: "127.0.0.1:7001", Discovery: "127.0.0.1:8500", Log: "debug", Cores: 0.5, MemoryMB: 192, Groups: "olten,spare,proof"},
+		{Name: "n2", Config: "/etc/p/base.json", Listen: "127.0.0.1:7002", Discovery: "127.0.0.1:8500", Log: "warn", Cores: 2, MemoryMB: 64, Enabled: true, Groups: "olten"},
+		{Name: "n3", Config: "/etc/p/base.json", Listen: "127.0.0.1:7003", Log: "error", MemoryMB: 128, Groups: "spare"},
 		{Name: "n9", Config: "/etc/p/base.json", Listen: "127.0.0.1:7009", Log: "warn", MemoryMB: 128, Enabled: true},
 	}
 	if len(list) != len(want) {
--- a/internal/inventory/yaml.go
+++ b/internal/inventory/yaml.go
@@ -187,6 +187,9 @@
 		})
 		h := host{name: name, line: own.line, vars: map[string]value{}}
 		for _, g := range order {
+			if g != all {
+				h.groups = append(h.groups, g.name)
+			}
 			for k, v := range g.vars {
 				h.vars[k] = v
 			}
