--- a/cmd/poppyarch/root.go
+++ b/cmd/poppyarch/root.go
@@ -12,6 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"poppyarch/internal/agent"
+	"poppyarch/internal/fleet/api"
+	"poppyarch/internal/fleet/state"
 )
 
 // Exit codes, for scripts.
@@ -20,6 +22,8 @@
 	exitUsage     = 2 // wrong arguments, or a faulty configuration or inventory
 	exitNoAgent   = 3 // no agent answers on the socket
 	exitUnhealthy = 4 // status: an instance that should run does not
+	exitMoved     = 5 // the fleet has moved on, or a rollout is under way
+	exitRollout   = 6 // the rollout is paused, has failed, or did not end in time
 )
 
 // exit is an error with its exit code.
@@ -37,8 +41,12 @@
 	switch {
 	case errors.As(err, &e):
 		return e.code
-	case errors.Is(err, agent.ErrNoAgent):
+	case errors.Is(err, agent.ErrNoAgent), errors.Is(err, api.ErrDown):
 		return exitNoAgent
+	case errors.Is(err, state.ErrConflict), errors.Is(err, state.ErrOverlap), errors.Is(err, state.ErrState):
+		return exitMoved
+	case errors.Is(err, state.ErrUnknown), errors.Is(err, api.ErrRequest):
+		return exitUsage
 	case errors.Is(err, agent.ErrUnknown):
 		return exitUsage
 	case strings.HasPrefix(err.Error(), "unknown command"), strings.HasPrefix(err.Error(), "required flag"):
@@ -53,10 +61,10 @@
 		Use: "poppyarch", Short: "Storage broker, and the agent that runs many of it",
 		SilenceErrors: true, SilenceUsage: true, CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
 		Long: "poppyarch brokers requests between clients and storage nodes.\n\nExit codes: 0 done; 1 failed; " +
-			"2 wrong arguments, configuration or inventory;\n3 no agent answers; 4 an instance that should run does not.",
+			"2 wrong arguments, configuration or inventory;\n3 no agent or manager answers; 4 an instance that should run does not; 5 and 6: see fleet.",
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exit{exitUsage, err} })
-	c.AddCommand(serveCommand(), agentCommand(), validateCommand())
+	c.AddCommand(serveCommand(), agentCommand(), validateCommand(), fleetCommand())
 	c.AddCommand(controlCommands()...)
 	return c
 }
--- /dev/null
+++ b/internal/fleet/settings/settings.go
@@ -0,0 +1,182 @@
+// Package settings reads a fleet's configuration file in TOML: how its manager and agents are set up, where the
+// command line finds the manager, and how revisions roll out. Errors name file, line and key.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"poppyarch/internal/fleet/state"
+)
+
+// Duration is a time in TOML, such as "5s" or "100ms".
+type Duration time.Duration
+
+// UnmarshalText reads one; it may not be negative.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is no duration such as \"5s\"", b)
+	}
+	if v < 0 {
+		return fmt.Errorf("%q is negative", b)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Micros is the duration in microseconds.
+func (d Duration) Micros() int64 { return time.Duration(d).Microseconds() }
+
+// File is the whole of it. All parts have defaults; each command uses its own.
+type File struct {
+	Manager  Manager  `toml:"manager"`
+	Agent    Agent    `toml:"agent"`
+	Fleet    Fleet    `toml:"fleet"`
+	Strategy Strategy `toml:"strategy"`
+}
+
+// Manager sets the manager up.
+type Manager struct {
+	Listen       string   `toml:"listen"`        // unix:PATH or HOST:PORT
+	Journal      string   `toml:"journal"`       // its folder
+	Silence      Duration `toml:"silence"`       // an agent not heard of for so long is silent
+	Revisions    int      `toml:"revisions"`     // kept for rollback
+	AcceptDamage bool     `toml:"accept_damage"` // start though records of the journal are lost
+}
+
+// Agent sets an agent up.
+type Agent struct {
+	Name     string   `toml:"name"`
+	Manager  string   `toml:"manager"`   // where the manager listens
+	Journal  string   `toml:"journal"`   // its folder
+	RunDir   string   `toml:"run_dir"`   // the brokers' configurations, sockets and logs
+	Drain    Duration `toml:"drain"`     // from SIGTERM to SIGKILL
+	Look     Duration `toml:"look"`      // between two looks at a broker
+	NewFleet bool     `toml:"new_fleet"` // follow another manager than before, or one that has lost history
+}
+
+// Fleet is for the command line.
+type Fleet struct {
+	Manager   string `toml:"manager"`
+	Inventory string `toml:"inventory"`
+	Agent     string `toml:"agent"` // of instances whose inventory names none
+}
+
+// Strategy is how revisions roll out.
+type Strategy struct {
+	Canary         int          `toml:"canary"`
+	Batch          state.Amount `toml:"batch"`
+	MaxUnavailable state.Amount `toml:"max_unavailable"`
+	ByDomain       bool         `toml:"by_domain"`
+	Soak           Duration     `toml:"soak"`
+	Deadline       Duration     `toml:"deadline"`
+	FailureBudget  state.Amount `toml:"failure_budget"`
+	OnFailure      string       `toml:"on_failure"`
+	Overlap        string       `toml:"overlap"`
+}
+
+// State turns it into the planner's form.
+func (s Strategy) State() state.Strategy {
+	return state.Strategy{Canary: s.Canary, Batch: s.Batch, MaxUnavailable: s.MaxUnavailable, ByDomain: s.ByDomain,
+		Soak: s.Soak.Micros(), Deadline: s.Deadline.Micros(), FailureBudget: s.FailureBudget, OnFailure: s.OnFailure, Overlap: s.Overlap}
+}
+
+// Default is what holds without a file. dir is where journals and sockets go.
+func Default(dir string) File {
+	d := state.DefaultStrategy()
+	listen := "127.0.0.1:7700"
+	us := func(v int64) Duration { return Duration(time.Duration(v) * time.Microsecond) }
+	return File{
+		Manager: Manager{Listen: listen, Journal: filepath.Join(dir, "manager"), Silence: us(state.DefaultLimits().Silence),
+			Revisions: state.DefaultLimits().Revisions},
+		Agent: Agent{Name: "local", Manager: listen, Journal: filepath.Join(dir, "agent"), RunDir: dir, Drain: Duration(15 * time.Second),
+			Look: Duration(time.Second)},
+		Fleet: Fleet{Manager: listen, Agent: "local"},
+		Strategy: Strategy{Canary: d.Canary, Batch: d.Batch, MaxUnavailable: d.MaxUnavailable, ByDomain: d.ByDomain, Soak: us(d.Soak),
+			Deadline: us(d.Deadline), FailureBudget: d.FailureBudget, OnFailure: d.OnFailure, Overlap: d.Overlap},
+	}
+}
+
+// Load reads a file over the defaults. Relative paths in it count from its folder.
+func Load(path, dir string) (File, error) {
+	f := Default(dir)
+	if path == "" {
+		return f, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return f, err
+	}
+	d := toml.NewDecoder(bytes.NewReader(text))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return f, located(path, err)
+	}
+	base := filepath.Dir(path)
+	for _, p := range []*string{&f.Manager.Journal, &f.Agent.Journal, &f.Agent.RunDir, &f.Fleet.Inventory} {
+		if *p != "" && !filepath.IsAbs(*p) {
+			*p = filepath.Join(base, *p)
+		}
+	}
+	if err := f.check(); err != nil {
+		return f, fmt.Errorf("%s: %w", path, err)
+	}
+	return f, nil
+}
+
+// located names the line and the key of the library's errors.
+func located(path string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		e := strict.Errors[0]
+		line, _ := e.Position()
+		return fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(e.Key(), "."))
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		line, _ := de.Position()
+		key := strings.Join(de.Key(), ".")
+		if key != "" {
+			key += ": "
+		}
+		return fmt.Errorf("%s:%d: %s%s", path, line, key, strings.TrimPrefix(de.Error(), "toml: "))
+	}
+	return fmt.Errorf("%s: %w", path, err)
+}
+
+func (f *File) check() error {
+	for key, addr := range map[string]string{"manager.listen": f.Manager.Listen, "agent.manager": f.Agent.Manager, "fleet.manager": f.Fleet.Manager} {
+		if p, ok := strings.CutPrefix(addr, "unix:"); ok && p != "" {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return fmt.Errorf("%s: %q is neither unix:PATH nor HOST:PORT", key, addr)
+		}
+	}
+	if f.Manager.Silence <= 0 {
+		return errors.New("manager.silence: must be above 0")
+	}
+	if f.Manager.Revisions < 2 {
+		return fmt.Errorf("manager.revisions: %d is under 2", f.Manager.Revisions)
+	}
+	if f.Agent.Name == "" {
+		return errors.New("agent.name: missing")
+	}
+	if f.Agent.Drain <= 0 || f.Agent.Look <= 0 {
+		return errors.New("agent.drain and agent.look: must be above 0")
+	}
+	st := f.Strategy.State()
+	if err := st.Check(); err != nil {
+		return fmt.Errorf("strategy.%w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/settings/settings_test.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestLoad(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "fleet.toml")
+	for _, x := range []struct{ text, want string }{
+		{"[strategy]\nsoak = \"2s\"\nbatch = \"10%\"\n[agent]\nrun_dir = \"run\"\n", ""},
+		{"[strategy]\nsoak = \"soon\"\n", "fleet.toml:2: strategy.soak: "},
+		{"[strategy]\n\nspeed = 3\n", "fleet.toml:3: strategy.speed: unknown key"},
+		{"[strategy]\nbatch = \"120%\"\n", "fleet.toml:2: strategy.batch: "},
+		{"[strategy]\non_failure = \"panic\"\n", "strategy.on_failure: "},
+		{"[manager]\nlisten = \"7700\"\n", "manager.listen: "},
+		{"[manager\n", "fleet.toml:1: "},
+		{"[manager]\nrevisions = \"x\"\n", "fleet.toml:2: manager.revisions"},
+	} {
+		if err := os.WriteFile(path, []byte(x.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		f, err := Load(path, "/base")
+		if x.want == "" {
+			if err != nil || f.Strategy.State().Soak != (2*time.Second).Microseconds() || f.Strategy.Batch.Of(50) != 5 ||
+				f.Agent.RunDir != filepath.Join(dir, "run") || f.Manager.Journal != "/base/manager" {
+				t.Errorf("%v %+v", err, f)
+			}
+			continue
+		}
+		if err == nil || !strings.Contains(err.Error(), x.want) {
+			t.Errorf("%q: %v, want %s", x.text, err, x.want)
+		}
+	}
+}
--- a/internal/fleet/state/rollout.go
+++ b/internal/fleet/state/rollout.go
@@ -326,9 +326,6 @@
 	i.digest = ""
 	if to != nil {
 		i.digest = to.Start.Digest()
-		if !to.Enabled {
-			i.joined = false // enabled again, it has to come up first
-		}
 	}
 	i.agent.assign(i.name)
 	s.weigh(i)
--- a/internal/fleet/state/snapshot.go
+++ b/internal/fleet/state/snapshot.go
@@ -271,11 +271,12 @@
 	return s, nil
 }
 
-// Recovered ends a replay. Nobody has been heard yet, so whatever should run counts, and counts as out of service,
-// until its agent says otherwise: what served before the manager's end must not be taken for new.
+// Recovered ends a replay. Nobody has been heard yet, so whatever there is counts, and counts as out of service,
+// until its agent says otherwise: what served before the manager's end must not be taken for new, even where it has been
+// told to end since.
 func (s *State) Recovered() {
 	for _, i := range s.inst {
-		i.joined = i.want != nil && i.want.Enabled
+		i.joined = true
 		s.weigh(i)
 	}
 }
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -501,6 +501,9 @@
 		i.joined = true
 	}
 	enabled := i.want != nil && i.want.Enabled
+	if !enabled && cur {
+		i.joined = false // wanted again, it has to come up first
+	}
 	i.ok = cur && (up || !enabled)
 	a := i.agent
 	pending := enabled && (i.want.Agent != a.name || i.seen.Started != i.digest)
