--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -302,9 +302,11 @@
 			if m.turn != turn {
 				return nil
 			}
-			text := "ended with exit code 0 though it was not asked to"
+			text := "exit code 0"
 			if err != nil {
 				text = err.Error()
+			} else if m.Phase != reconcile.Leaving {
+				text = "ended with exit code 0 though it was not asked to"
 			}
 			s.log.Info("agent: instance ended", "instance", m.Name, "pid", p.Identity().PID, "how", text)
 			m.process = nil
--- a/internal/fleet/supervisor/sync.go
+++ b/internal/fleet/supervisor/sync.go
@@ -24,7 +24,7 @@
 		}
 		switch {
 		case errors.Is(err, state.ErrFenced):
-			s.log.Error("agent: a newer agent has taken over, standing down", "agent", s.opt.Name)
+			s.log.Error("agent: a newer agent has taken over, standing down")
 			return err
 		case errors.Is(err, ErrHistory):
 			s.log.Error("agent: the manager is not followed", "err", err)
@@ -60,7 +60,7 @@
 	}); err != nil {
 		return err
 	}
-	s.log.Info("agent: registered", "agent", s.opt.Name, "token", reg.Token, "epoch", reg.Epoch)
+	s.log.Info("agent: registered", "token", reg.Token, "epoch", reg.Epoch)
 	for {
 		a, err := s.manager.Assignments(ctx, &api.AssignCall{Agent: s.opt.Name, Token: reg.Token, Epoch: reg.Epoch, Have: have,
 			WaitMS: s.opt.Poll.Milliseconds()})
