A tour: a newcomer's first minute with a whole installation on loopback

Need: a newcomer sees nothing of the fleet without setting up discovery, storage nodes, a manager and agents.

--- /dev/null
+++ b/examples/tour/main.go
@@ -0,0 +1,221 @@
+// Command tour is a newcomer's first minute: it puts a whole installation on loopback, drives traffic through both
+// fronts, rolls a change out, kills a broker in the middle of it, says what happened, and cleans up after itself.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"poppyarch/internal/fleet/api"
+	"poppyarch/internal/fleet/state"
+	"poppyarch/internal/stack"
+	"poppyarch/internal/standin"
+)
+
+func main() {
+	program := flag.String("program", "", "poppyarch; else beside this program")
+	pace := flag.Duration("pace", 700*time.Millisecond, "pause between the steps, for reading along")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, *program, *pace); err != nil {
+		fmt.Fprintln(os.Stderr, "tour:", err)
+		os.Exit(1)
+	}
+}
+
+// guide tells what is done and what comes of it.
+type guide struct {
+	s     *stack.Stack
+	start time.Time
+	pace  time.Duration
+}
+
+func (g *guide) say(format string, args ...any) {
+	fmt.Printf("%6.2f s  %s\n", time.Since(g.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (g *guide) step(title string) {
+	time.Sleep(g.pace)
+	fmt.Printf("\n== %s\n", title)
+}
+
+// show runs a command before the reader's eyes.
+func (g *guide) show(args ...string) error {
+	fmt.Println("$ poppyarch fleet", strings.Join(args, " "))
+	out, err := g.s.Run(args...)
+	for _, l := range strings.Split(strings.TrimRight(out, "\n"), "\n") {
+		fmt.Println("    " + l)
+	}
+	return err
+}
+
+func run(ctx context.Context, program string, pace time.Duration) (err error) {
+	if program == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		program = filepath.Join(filepath.Dir(self), "poppyarch")
+	}
+	if _, err := exec.LookPath(program); err != nil {
+		return fmt.Errorf("%w; build first: go build -o bin/ ./cmd/... ./examples/...", err)
+	}
+	dir, err := os.MkdirTemp("", "tour")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s, err := stack.New(stack.Options{Dir: dir, Program: program, Nodes: 3, Blocks: 3, Objects: 2, Agents: 2, Soak: 500 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	g := &guide{s: s, start: time.Now(), pace: pace}
+	defer func() {
+		g.step("Cleaning up")
+		if e := s.Close(); err == nil {
+			err = e
+		}
+		g.say("agents have drained their brokers, everything has ended")
+	}()
+	fmt.Println("== An installation on loopback: discovery, 3 storage nodes, a manager, 2 agents, and 5 brokers to come")
+	if err := s.Start(ctx); err != nil {
+		return err
+	}
+	g.say("discovery and storage nodes serve; the manager answers; the agents have registered")
+	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
+		return err
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "inventory.yaml"))
+	if err != nil {
+		return err
+	}
+	g.step("What is wanted: an inventory")
+	fmt.Println("    " + strings.ReplaceAll(strings.TrimRight(string(text), "\n"), "\n", "\n    "))
+	g.step("Applying it: a canary first, then waves, each one soaked before the next")
+	if err := g.show("apply", "--wait", "--note", "first"); err != nil {
+		return err
+	}
+	if err := g.settled(ctx); err != nil {
+		return err
+	}
+	g.step("What there is now")
+	if err := g.show("status"); err != nil {
+		return err
+	}
+
+	g.step("Traffic through both fronts: blocks over RESP2, objects over HTTP")
+	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 3, Clients: 2,
+		Pause: 5 * time.Millisecond}
+	on, stop := context.WithCancel(ctx)
+	var traffic sync.WaitGroup
+	traffic.Go(func() { load.Run(on) })
+	defer traffic.Wait()
+	defer stop()
+	time.Sleep(pace)
+	g.say("so far %v", load)
+
+	g.step("A change that restarts every broker, and a broker killed in the middle of it")
+	if err := s.Inventory(map[string]string{"memory_mb": "128", "log": "debug"}); err != nil {
+		return err
+	}
+	if err := g.show("plan"); err != nil {
+		return err
+	}
+	if err := g.show("apply", "--note", "more memory"); err != nil {
+		return err
+	}
+	if err := g.follow(ctx, func(r state.RolloutStatus) bool { return r.Wave >= 1 }); err != nil {
+		return err
+	}
+	if err := s.KillBroker(ctx, "b2"); err != nil {
+		g.say("b2 is just being restarted: %v", err)
+	} else {
+		g.say("b2 killed with SIGKILL")
+	}
+	if err := g.follow(ctx, func(r state.RolloutStatus) bool { return r.Phase == state.Done }); err != nil {
+		return err
+	}
+	if err := g.settled(ctx); err != nil {
+		return err
+	}
+	if err := g.show("status"); err != nil {
+		return err
+	}
+
+	g.step("An operator drains a storage node: at every broker at once, without a restart")
+	if err := g.show("nodes", "drain", "s-2", "--wait", "--note", "disk swap"); err != nil {
+		return err
+	}
+	if err := g.show("nodes", "back", "s-2", "--wait"); err != nil {
+		return err
+	}
+	g.step("Back to the first revision")
+	if err := g.show("rollout", "rollback", "--to", "1", "--wait"); err != nil {
+		return err
+	}
+	if err := g.show("history"); err != nil {
+		return err
+	}
+	stop()
+	traffic.Wait()
+	g.step("What the clients saw of all this")
+	g.say("%v", load)
+	fmt.Println("          cut off are requests whose connection ended with a killed or drained broker; no answer was wrong or came twice")
+	if n := load.Wrong.Load(); n > 0 {
+		return fmt.Errorf("%d wrong answers: %v", n, load.Complaints())
+	}
+	return nil
+}
+
+// follow tells a rollout's progress until ok.
+func (g *guide) follow(ctx context.Context, ok func(state.RolloutStatus) bool) error {
+	last := ""
+	for {
+		list, _, err := g.s.Client.Wait(ctx, 0, 50*time.Millisecond)
+		if err != nil {
+			return err
+		}
+		if len(list) > 0 {
+			r := list[0]
+			if text := fmt.Sprintf("rollout %d %s: wave %d of %d, %d of %d released, %d as wanted", r.Rev, r.Phase, min(r.Wave+1, r.Waves), r.Waves,
+				r.Released, r.Size, r.Fine); text != last {
+				g.say("%s", text)
+				last = text
+			}
+			if ok(r) {
+				return nil
+			}
+			if r.Phase == state.Paused {
+				return fmt.Errorf("rollout %d is paused: %s", r.Rev, r.Reason)
+			}
+		}
+	}
+}
+
+func (g *guide) settled(ctx context.Context) error {
+	for {
+		o, err := g.s.Client.Overview(ctx, nil, nil)
+		if err != nil {
+			return err
+		}
+		if o.Settled {
+			g.say("settled: %s", summary(o))
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func summary(o api.Overview) string {
+	return fmt.Sprintf("revision %d, %d of %d instances available, each current by its own word", o.Rev, o.Enabled-o.Unavailable, o.Enabled)
+}
--- /dev/null
+++ b/internal/fleet/state/bench_test.go
@@ -0,0 +1,138 @@
+package state
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"poppyarch/internal/fleet/spec"
+)
+
+// emulate is a settled fleet of n instances, fifty to an agent, with a report of each.
+func emulate(tb testing.TB, n int) (*State, [][]Report) {
+	s := New(DefaultLimits())
+	put := func(r *Record) {
+		if err := s.Apply(r); err != nil {
+			tb.Fatal(err)
+		}
+	}
+	want := &spec.Spec{Instances: map[string]*spec.Instance{}, Configs: map[string]string{}}
+	text := "{}"
+	d := spec.ConfigDigest([]byte(text))
+	want.Configs[d] = text
+	agents := max(n/50, 1)
+	for k := range n {
+		name := fmt.Sprintf("n%06d", k)
+		want.Instances[name] = &spec.Instance{Name: name, Agent: fmt.Sprintf("a%04d", k%agents), Enabled: true,
+			Start: spec.Start{Config: d, Listen: fmt.Sprintf("127.0.%d.1:%d", k/50000, 1024+k%50000), MemoryMB: 96}}
+	}
+	st := DefaultStrategy()
+	st.Soak, st.Batch, st.ByDomain = 0, Amount{Percent: 100}, false
+	r, _, err := s.Propose(&Command{ID: "c"}, want, st, 1)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	put(r)
+	now := int64(1)
+	drain := func() {
+		for {
+			list := s.Step(now)
+			if len(list) == 0 {
+				return
+			}
+			for _, r := range list {
+				put(r)
+			}
+		}
+	}
+	reports := make([][]Report, agents)
+	have := make([]uint64, agents)
+	seq := uint64(0)
+	for round := 0; !s.Settled() || round == 0; round++ {
+		if round > 6 {
+			tb.Fatalf("not settled: %+v", s.Rollouts(1))
+		}
+		seq++
+		for a := range agents {
+			name := fmt.Sprintf("a%04d", a)
+			if round == 0 {
+				put(s.Register(name, 1))
+			}
+			list, version := s.Assignments(name, have[a])
+			have[a] = version
+			for _, x := range list {
+				reports[a] = append(reports[a], Report{Name: x.Name, Proc: Running, Boot: "b" + x.Name, Applied: x.Target, Started: x.Want.Start.Digest(), Healthy: true})
+			}
+			if err := s.Observe(name, s.agents[name].token, seq, version, true, reports[a], now); err != nil {
+				tb.Fatal(err)
+			}
+		}
+		drain()
+	}
+	return s, reports
+}
+
+// rescan is the plain way: everything is looked at again.
+func rescan(s *State) (out, of, differ int, gone []string) {
+	for name, i := range s.inst {
+		cur, up := s.current(i), i.available()
+		if i.want != nil && i.want.Enabled && i.joined {
+			of++
+			if !up || i.disturbed || i.seen.Started != i.digest {
+				out++
+			}
+		}
+		if !cur {
+			differ++
+		}
+		if i.known && i.seen.Proc == Absent && i.want == nil {
+			gone = append(gone, name)
+		}
+	}
+	return out, of, differ, gone
+}
+
+// BenchmarkStep has ten instances change in a fleet, and finds out what to do: with the index, and by looking at all.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{100, 1000, 10000, 100000} {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		s, reports := emulate(b, n)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		bytes := float64(after.HeapAlloc-before.HeapAlloc) / float64(n)
+		for _, plain := range []bool{false, true} {
+			name := "indexed"
+			if plain {
+				name = "rescan"
+			}
+			b.Run(fmt.Sprintf("%s/%d", name, n), func(b *testing.B) {
+				seq, now := s.agents["a0000"].seq, s.now
+				for k := 0; b.Loop(); k++ {
+					a := k % len(reports)
+					agent := fmt.Sprintf("a%04d", a)
+					var changed []Report
+					for j := range min(10, len(reports[a])) {
+						r := &reports[a][j]
+						r.Healthy = !r.Healthy
+						changed = append(changed, *r)
+					}
+					seq++
+					now++
+					if err := s.Observe(agent, s.agents[agent].token, seq, s.agents[agent].version, false, changed, now); err != nil {
+						b.Fatal(err)
+					}
+					if plain {
+						rescan(s)
+					} else if list := s.Step(now); len(list) > 0 {
+						b.Fatal(list[0])
+					}
+				}
+				b.ReportMetric(bytes, "B/instance")
+			})
+		}
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(reports)
+	}
+}
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -29,12 +29,13 @@
 	Pause    time.Duration // between two requests of a client
 	Patience time.Duration // how long an answer is waited for
 
-	Served  atomic.Int64
-	Refused atomic.Int64
-	Failed  atomic.Int64 // answered so
-	Broken  atomic.Int64 // the connection ended without an answer
-	Silent  atomic.Int64 // no answer in time
-	Wrong   atomic.Int64 // an answer that was not made for the request, or a second one
+	Served    atomic.Int64
+	Refused   atomic.Int64
+	Failed    atomic.Int64 // answered so
+	Broken    atomic.Int64 // the connection ended without an answer
+	Silent    atomic.Int64 // no answer in time
+	Unreached atomic.Int64 // connections that no broker took; nothing was sent
+	Wrong     atomic.Int64 // an answer that was not made for the request, or a second one
 
 	mu   sync.Mutex
 	what []string // the first few that were wrong
@@ -116,6 +117,7 @@
 		if c == nil {
 			at++
 			if c = t.dial(ctx, t.Blocks[at%len(t.Blocks)]); c == nil {
+				t.Unreached.Add(1)
 				t.rest(ctx)
 				continue
 			}
@@ -268,7 +270,8 @@
 				at++
 				switch {
 				case errors.As(err, &op) && op.Op == "dial":
-					t.rest(ctx) // nothing was sent
+					t.Unreached.Add(1)
+					t.rest(ctx)
 				case strings.Contains(err.Error(), "Client.Timeout"):
 					t.Silent.Add(1)
 				default:
