--- a/cmd/poppyarch/control.go
+++ b/cmd/poppyarch/control.go
@@ -17,6 +17,7 @@
 
 	"poppyarch/internal/agent"
 	"poppyarch/internal/config"
+	"poppyarch/internal/fleet/settings"
 	"poppyarch/internal/inventory"
 )
 
@@ -99,7 +100,7 @@
 func validateCommand() *cobra.Command {
 	var asJSON bool
 	c := &cobra.Command{
-		Use: "validate FILE...", Short: "Check inventories (.csv, .yaml, .yml) and configurations (.json)",
+		Use: "validate FILE...", Short: "Check inventories (.csv, .yaml, .yml), configurations (.json) and fleet settings (.toml)",
 		Args: usage(cobra.MinimumNArgs(1)),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			type result struct {
@@ -113,7 +114,9 @@
 			for _, file := range args {
 				r := result{File: file}
 				var err error
-				if strings.EqualFold(filepath.Ext(file), ".json") {
+				if strings.EqualFold(filepath.Ext(file), ".toml") {
+					_, err = settings.Load(file, defaultDir())
+				} else if strings.EqualFold(filepath.Ext(file), ".json") {
 					_, err = config.Load(func(key string) string {
 						if key == "LB_CONFIG" {
 							return file
--- a/cmd/poppyarch/main_test.go
+++ b/cmd/poppyarch/main_test.go
@@ -35,7 +35,7 @@
 		text string
 	}{
 		{[]string{"validate", "../../examples/inventory.yaml", "../../examples/inventory.csv", "../../examples/config.json",
-			"../../deploy/object.json"}, 0, "inventory.yaml: ok"},
+			"../../deploy/object.json", "../../deploy/fleet.toml"}, 0, "inventory.yaml: ok"},
 		{[]string{"validate", bad}, exitUsage, "bad.csv:1: colour: unknown key"},
 		{[]string{"validate"}, exitUsage, "at least 1 arg"},
 		{[]string{"status", "--run-dir", dir}, exitNoAgent, "no agent"},
--- a/internal/fleet/state/property_test.go
+++ b/internal/fleet/state/property_test.go
@@ -407,6 +407,15 @@
 					}
 				}
 			},
+			"the clock jumps": func(t *rapid.T) {
+				if rapid.Bool().Draw(t, "forward") {
+					w.now += 3600_000_000
+				} else if w.now > 1_000_000 { // a step that is told an earlier time than before
+					if list := w.s.Step(w.now - 1_000_000); len(list) > 0 {
+						w.put(list[0])
+					}
+				}
+			},
 			"manager restarts": func(t *rapid.T) { w.restart() },
 			"snapshot": func(t *rapid.T) {
 				b, err := w.s.Snapshot()
