Recorder: what a broker did, in segments that say what they lack

Need: a dead broker's log simply stops, and silence looks like calm.

With a record key in its configuration (off without, and then one nil check a request) a broker writes one record a request with every attempt, heartbeats with levels, each second's counts of all requests, changes of nodes, list, discovery and fleet. Eight buffers that are only ever tried hold no request up; what finds no room, or no disk, is counted with its times and told. Tests: any changed or cut byte, a stalled and a full sink, sampling, the folder's bound.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,7 @@
 	Limits    limits.Limits
 	Object    *Object  // nil: the object front is off
 	Control   *Control // nil: there is no control endpoint
+	Record    *Record  // nil: nothing is recorded
 	LogLevel  string
 
 	fileDiscovery string            // as the file has it, whatever LB_DISCOVERY says
@@ -58,6 +59,48 @@
 	Started string `json:"started,omitempty"` // what whoever starts the broker calls its start settings
 }
 
+// Record sets up the recorder.
+type Record struct {
+	Dir     string  `json:"dir"`           // of the segments; empty: a ring in memory
+	Sample  float64 `json:"sample"`        // share of requests recorded one by one; all are counted; default 1
+	Segment int64   `json:"segment_bytes"` // default 8 MiB
+	Total   int64   `json:"total_bytes"`   // of all segments of this broker, or of the ring; default 256 MiB, ring 8 MiB
+	FlushMS int64   `json:"flush_ms"`      // default 50
+	BeatMS  int64   `json:"beat_ms"`       // default 500
+}
+
+func (r *Record) check() error {
+	if r.Sample == 0 {
+		r.Sample = 1
+	}
+	for _, x := range []struct {
+		v  *int64
+		by int64
+	}{{&r.Segment, 8 << 20}, {&r.Total, 256 << 20}, {&r.FlushMS, 50}, {&r.BeatMS, 500}} {
+		if *x.v == 0 {
+			*x.v = x.by
+			if x.v == &r.Total && r.Dir == "" {
+				*x.v = 8 << 20
+			}
+		}
+	}
+	switch {
+	case !(r.Sample > 0 && r.Sample <= 1):
+		return fmt.Errorf("sample: %v is not above 0 and up to 1", r.Sample)
+	case r.Segment < 64<<10:
+		return fmt.Errorf("segment_bytes: %d is under 65536", r.Segment)
+	case r.Total < 2*r.Segment && r.Dir != "":
+		return fmt.Errorf("total_bytes: %d is under two segments", r.Total)
+	case r.Total < 64<<10:
+		return fmt.Errorf("total_bytes: %d is under 65536", r.Total)
+	case r.FlushMS < 1 || r.FlushMS > 10000:
+		return fmt.Errorf("flush_ms: %d is not 1 to 10000", r.FlushMS)
+	case r.BeatMS < r.FlushMS || r.BeatMS > 60000:
+		return fmt.Errorf("beat_ms: %d is not flush_ms to 60000", r.BeatMS)
+	}
+	return nil
+}
+
 // file is the form of the configuration file.
 type file struct {
 	Name      string `json:"name"`
@@ -73,6 +116,7 @@
 	Settings json.RawMessage `json:"settings"`
 	Object   *Object         `json:"object"`
 	Control  *Control        `json:"control"`
+	Record   *Record         `json:"record"`
 	Log      string          `json:"log"`
 	Tuning   json.RawMessage `json:"tuning"` // single figures of limits.Limits, in its words
 }
@@ -179,7 +223,7 @@
 			*to = v
 		}
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object, Control: in.Control,
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object, Control: in.Control, Record: in.Record,
 		LogLevel: in.Log, fileDiscovery: fileDiscovery}
 	var err error
 	if c.keys, err = keys(text); err != nil {
@@ -253,6 +297,11 @@
 			return nil, fmt.Errorf("control.listen: %w", err)
 		}
 	}
+	if c.Record != nil {
+		if err := c.Record.check(); err != nil {
+			return nil, fmt.Errorf("record.%w", err)
+		}
+	}
 	if c.Object != nil {
 		if err := c.checkObject(&ex); err != nil {
 			return nil, fmt.Errorf("object.%w", err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -30,8 +30,39 @@
 	Draining bool      `json:"draining,omitempty"`
 	ListRev  int64     `json:"list_rev"` // version of discovery's list that it works by; -1: none yet
 	Nodes    int       `json:"nodes"`
-	Open     int64     `json:"open"` // requests taken and not answered
-	Live     spec.Live `json:"live"` // in force
+	Open     int64     `json:"open"`              // requests taken and not answered
+	Live     spec.Live `json:"live"`              // in force
+	Figures  *Figures  `json:"figures,omitempty"` // of the last second, where the broker records
+}
+
+// Figures are what a broker did in a span of time. Times are microseconds.
+type Figures struct {
+	Span    int64        `json:"span"`
+	Groups  []GroupCount `json:"groups"`
+	Nodes   []NodeFigure `json:"nodes"`
+	Dropped uint64       `json:"dropped,omitempty"` // records that found no room, since the boot
+}
+
+// GroupCount is the requests of one class and plan.
+type GroupCount struct {
+	Class   string `json:"class"`
+	Plan    string `json:"plan"`
+	Served  uint64 `json:"served"`
+	Late    uint64 `json:"late"` // of the served, after the aim
+	Refused uint64 `json:"refused"`
+	Failed  uint64 `json:"failed"`
+	P50     int64  `json:"p50"`
+	P99     int64  `json:"p99"`
+}
+
+// NodeFigure is the attempts at one node.
+type NodeFigure struct {
+	Node   string `json:"node"`
+	Served uint64 `json:"served"`
+	Silent uint64 `json:"silent"` // no answer in time
+	Other  uint64 `json:"other"`
+	P50    int64  `json:"p50"`
+	P99    int64  `json:"p99"`
 }
 
 // Broker is the running broker behind the endpoint.
@@ -57,6 +88,8 @@
 	draining bool
 	rev      uint64
 	hook     func(string) // tests stop the process at its points
+	observe  func(*Change, *Outcome)
+	records  func() []byte
 }
 
 // NewServer begins a boot. started is the digest that the configuration names.
@@ -67,6 +100,12 @@
 // SetHook has f called with "admitted" before a change is taken up and with "recorded" after, before it is answered.
 func (s *Server) SetHook(f func(point string)) { s.hook = f }
 
+// Observe has f called with every change and what became of it.
+func (s *Server) Observe(f func(*Change, *Outcome)) { s.observe = f }
+
+// Records has GET /v1/records give what f returns: the broker's records where it keeps them in memory.
+func (s *Server) Records(f func() []byte) { s.records = f }
+
 func (s *Server) at(point string) {
 	if s.hook != nil {
 		s.hook(point)
@@ -94,6 +133,14 @@
 func (s *Server) Change(c *Change) *Outcome {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	o := s.change(c)
+	if s.observe != nil {
+		s.observe(c, o)
+	}
+	return o
+}
+
+func (s *Server) change(c *Change) *Outcome {
 	if s.draining {
 		return s.ledger.say(Draining, "the broker is draining")
 	}
@@ -130,6 +177,14 @@
 		json.NewEncoder(w).Encode(v)
 	}
 	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { reply(w, http.StatusOK, s.State()) })
+	mux.HandleFunc("GET /v1/records", func(w http.ResponseWriter, r *http.Request) {
+		if s.records == nil {
+			http.NotFound(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", "application/octet-stream")
+		w.Write(s.records())
+	})
 	mux.HandleFunc("POST /v1/change", func(w http.ResponseWriter, r *http.Request) {
 		var c Change
 		d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChange))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"poppyarch/internal/clock"
 	"poppyarch/internal/limits"
+	"poppyarch/internal/record"
 	"poppyarch/policy"
 )
 
@@ -97,6 +99,7 @@
 	clock   *clock.Clock
 	lim     *limits.Limits
 	open    *Gate
+	rec     *record.Recorder // nil: nothing is recorded
 }
 
 // NewBroker returns a broker. Several may share a module, a node table and a gate.
@@ -105,9 +108,42 @@
 	return &Broker[W, V]{facade: f, nodes: n, backend: b, clock: c, lim: lim, open: g}
 }
 
+// Record has every request recorded by r. It is called before the first Do.
+func (b *Broker[W, V]) Record(r *record.Recorder) { b.rec = r }
+
+// stories are requests being recorded.
+var stories = sync.Pool{New: func() any { return &record.Request{} }}
+
 // Do carries a request to its final answer, which comes before the request is due. Where ctx is done earlier
 // the client has left and the answer reaches nobody.
 func (b *Broker[W, V]) Do(ctx context.Context, r Request[W]) Answer[V] {
+	if b.rec == nil {
+		return b.do(ctx, r, nil, 0)
+	}
+	at := b.clock.Now()
+	q := stories.Get().(*record.Request)
+	*q = record.Request{Class: uint8(r.Class), Plan: uint8(r.Plan), Volume: r.Volume, Units: r.Units, Shard: int64(r.Shard), Tries: q.Tries[:0]}
+	a := b.do(ctx, r, q, at)
+	q.Took, q.Hint = b.clock.Now()-at, a.Hint
+	switch {
+	case a.Kind == Success:
+		q.Answer = record.Served
+	case errors.Is(context.Cause(ctx), ErrClientLeft):
+		q.Answer = record.Left
+	case a.Kind == Refusal:
+		q.Answer = record.Refused
+	case a.Overdue:
+		q.Answer = record.Overdue
+	default:
+		q.Answer = record.Failed
+	}
+	b.rec.Request(at, q)
+	stories.Put(q)
+	return a
+}
+
+// do is Do; q, where it is not nil, takes the attempts of a request that came at at.
+func (b *Broker[W, V]) do(ctx context.Context, r Request[W], q *record.Request, at int64) Answer[V] {
 	if !b.open.Enter() {
 		return Answer[V]{Kind: Refusal, Hint: b.lim.BusyHint} // the process is full: nothing ran
 	}
@@ -121,6 +157,10 @@
 	for number := 0; d.Verdict == policy.ToNode; number++ {
 		var v V
 		out := NotSent
+		sent := int64(0)
+		if q != nil {
+			sent = b.clock.Now()
+		}
 		if node, ok := b.nodes.Get(d.Node); ok {
 			v, out = b.backend.Do(ctx, Attempt[W]{
 				Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
@@ -132,6 +172,9 @@
 				},
 			})
 		}
+		if q != nil {
+			q.Tries = append(q.Tries, record.Try{Node: d.Node, Sent: sent - at, Took: b.clock.Now() - sent, Outcome: uint8(out)})
+		}
 		d = b.facade.Report(ctx, id, out)
 		if out == Served || d.Verdict == policy.Ended {
 			// One that began and broke has a value as well: it tells the front that nothing more can be said.
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -98,6 +98,7 @@
 	http  *http.Client
 	lim   *limits.Limits
 	give  func(nodes []core.Node, full bool)
+	tell  func(err error) // a watch has ended with err, or with nil a list has come
 	f     *policy.Facade
 	log   *slog.Logger
 }
@@ -117,6 +118,7 @@
 		},
 	}
 	c.known.Store(rev)
+	c.tell = func(error) {}
 	c.give = func(nodes []core.Node, full bool) {
 		// The table goes first: what the module decides next is checked against it.
 		table.Update(nodes, full)
@@ -128,6 +130,9 @@
 // Deliver has lists go to f, in their order, in place of the table and the module. It is called before Run.
 func (c *Client) Deliver(f func(nodes []core.Node, full bool)) { c.give = f }
 
+// Tell has f called with nil for every list that comes and with its error for every watch that ends. Before Run.
+func (c *Client) Tell(f func(err error)) { c.tell = f }
+
 // Rev is the version of the list that was delivered last; NoList where none was.
 func (c *Client) Rev() int64 { return c.known.Load() }
 
@@ -179,6 +184,7 @@
 			continue // to the note in c.moved
 		}
 		c.log.Warn("discovery: watch ended", "err", err)
+		c.tell(err)
 		c.f.List(nil, false)
 	}
 }
@@ -213,6 +219,7 @@
 		}
 		c.rev = l.Rev
 		c.give(nodes, l.All)
+		c.tell(nil)
 		c.known.Store(l.Rev)
 		for _, n := range nodes {
 			c.log.Debug("discovery: node", "node", n.ID, "state", n.State, "addr", n.Addr, "rev", l.Rev)
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,350 @@
+package record
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"reflect"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"poppyarch/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func drawEvent(t *rapid.T) Event {
+	e := Event{At: rapid.Int64Range(1, 1<<50).Draw(t, "at"), Kind: Kind(rapid.IntRange(1, int(kinds)-1).Draw(t, "kind"))}
+	name := rapid.SampledFrom([]string{"", "s-1", "s-22", "0123456789abcdef", "ü"})
+	n := rapid.Int64Range(0, 1<<40)
+	switch e.Kind {
+	case KindRequest:
+		e.Request = &Request{Class: 1, Plan: 2, Answer: Refused, Volume: name.Draw(t, "volume"), Units: float64(rapid.IntRange(0, 80).Draw(t, "units")) / 16,
+			Shard: rapid.Int64Range(-1, 9).Draw(t, "shard"), Took: n.Draw(t, "took"), Hint: n.Draw(t, "hint")}
+		for range rapid.IntRange(0, 3).Draw(t, "tries") {
+			e.Request.Tries = append(e.Request.Tries, Try{name.Draw(t, "node"), n.Draw(t, "sent"), n.Draw(t, "try"), 3})
+		}
+	case KindBoot:
+		e.Boot = &Boot{Name: "n1", ID: "b", Began: n.Draw(t, "began"), Wall: n.Draw(t, "wall"), Beat: 5, Sample: 0.25,
+			Classes: []Class{{"c", 1, 2, 0.5}}, Plans: []Plan{{"p", 1.5}, {"q", 0}}}
+	case KindBeat:
+		e.Beat = &Beat{n.Draw(t, "wall"), 3, 1 << 30, 17, 4, -1}
+	case KindSummary:
+		g := Group{Class: 1, Plan: 1, Late: 3}
+		g.Count[Served] = uint64(n.Draw(t, "served"))
+		g.Latency.AddN(n.Draw(t, "latency"), 3)
+		k := NodeCount{Node: "s-1"}
+		k.Outcomes[3], k.Outcomes[9] = 4, 5
+		e.Summary = &Summary{Span: 1000000, Groups: []Group{g}, Nodes: []NodeCount{k}}
+	case KindLost:
+		e.Lost = &Lost{From: e.At - 500, To: e.At - 20, Events: 7, Requests: 6, Why: "full"}
+	default:
+		e.Note = &Note{name.Draw(t, "subject"), "some text", n.Draw(t, "value") - 1<<20}
+	}
+	return e
+}
+
+// Events come back as they were written. A segment with any bytes changed or cut off gives no event that was not
+// written, in order, and says how many bytes it could not read.
+func TestSegmentsGiveBackWhatWasWritten(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := SegmentHead("n1", "boot", 1)
+		head := len(b)
+		var want []Event
+		var frames []int
+		for k := range rapid.IntRange(1, 6).Draw(t, "frames") {
+			base := rapid.Int64Range(1, 1<<50).Draw(t, "base")
+			var events []byte
+			for range rapid.IntRange(1, 4).Draw(t, "events") {
+				e := drawEvent(t)
+				events = e.Append(events, base)
+				want = append(want, e)
+			}
+			f := Frame{Seq: uint64(k + 1), At: base, Wall: 5, Events: events}
+			frames = append(frames, len(want))
+			b = f.Append(b)
+		}
+		read := func(b []byte) (got []Event, seqs []uint64, damaged int) {
+			_, _, err := Segment(b, func(p Part) {
+				damaged += p.Damaged
+				if p.Last {
+					return
+				}
+				seqs = append(seqs, p.Frame.Seq)
+				d := NewDecoder()
+				d.Reset(p.Frame.Events, p.Frame.At)
+				for {
+					var e Event
+					ok, err := d.Next(&e)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if !ok {
+						return
+					}
+					got = append(got, e)
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return got, seqs, damaged
+		}
+		got, _, damaged := read(b)
+		if damaged != 0 || len(got) != len(want) {
+			t.Fatalf("%d events of %d, %d bytes damaged", len(got), len(want), damaged)
+		}
+		for i := range got {
+			x, y := got[i], want[i]
+			if x.Kind == KindSummary { // capacities of sketches differ
+				if x.Summary.Groups[0].Latency.Quantile(0.5) != y.Summary.Groups[0].Latency.Quantile(0.5) || x.Summary.Nodes[0].Outcomes != y.Summary.Nodes[0].Outcomes {
+					t.Fatalf("%+v\n%+v", x.Summary, y.Summary)
+				}
+				continue
+			}
+			if x.Kind == KindRequest && len(x.Request.Tries) == 0 {
+				x.Request.Tries, y.Request.Tries = nil, nil
+			}
+			if !reflect.DeepEqual(x, y) {
+				t.Fatalf("%+v\n%+v", x, y)
+			}
+		}
+		bad := bytes.Clone(b)
+		at := rapid.IntRange(head, len(b)-1).Draw(t, "damage")
+		if rapid.Bool().Draw(t, "cut") {
+			bad = bad[:at]
+		} else {
+			bad[at] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		}
+		_, seqs, damaged := read(bad)
+		if len(bad) < len(b) && at > head && damaged == 0 && len(seqs) == len(frames) || len(bad) == len(b) && (damaged == 0 || len(seqs) != len(frames)-1) {
+			t.Fatalf("%d of %d bytes, damage at %d: frames %v, %d bytes damaged", len(bad), len(b), at, seqs, damaged)
+		}
+		for i := 1; i < len(seqs); i++ {
+			if seqs[i] <= seqs[i-1] {
+				t.Fatalf("frames out of order: %v", seqs)
+			}
+		}
+	})
+}
+
+func FuzzSegment(f *testing.F) {
+	e := Event{At: 7, Kind: KindNode, Note: &Note{Subject: "s", Text: "silent"}}
+	fr := Frame{Seq: 1, At: 5, Events: e.Append(nil, 5)}
+	f.Add(fr.Append(SegmentHead("n", "b", 1)))
+	f.Add([]byte(segMagic))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		Segment(b, func(p Part) {
+			d := NewDecoder()
+			d.Reset(p.Frame.Events, p.Frame.At)
+			var e Event
+			for {
+				if ok, err := d.Next(&e); !ok || err != nil {
+					return
+				}
+			}
+		})
+	})
+}
+
+// tank is a sink that can be full or slow.
+type tank struct {
+	mu     sync.Mutex
+	full   bool
+	hold   chan struct{}
+	frames []Frame
+}
+
+func (k *tank) Write(f *Frame) error {
+	if k.hold != nil {
+		<-k.hold
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.full {
+		return errors.New("no space left on device")
+	}
+	c := *f
+	c.Events = bytes.Clone(f.Events)
+	k.frames = append(k.frames, c)
+	return nil
+}
+
+func (k *tank) Close() error { return nil }
+
+// sum adds up what a sink holds.
+func (k *tank) sum(t *testing.T) (requests, lost, counted uint64, whys map[string]bool) {
+	whys = map[string]bool{}
+	for _, f := range k.frames {
+		d := NewDecoder()
+		d.Reset(f.Events, f.At)
+		var e Event
+		for {
+			ok, err := d.Next(&e)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !ok {
+				break
+			}
+			switch e.Kind {
+			case KindRequest:
+				requests++
+			case KindLost:
+				lost += e.Lost.Requests
+				whys[e.Lost.Why] = true
+			case KindSummary:
+				for _, g := range e.Summary.Groups {
+					for _, n := range g.Count {
+						counted += n
+					}
+				}
+			}
+		}
+	}
+	return
+}
+
+// A surge that overflows the buffers while the sink stands still, and then a disk that is full: no caller waits, and
+// every request is either recorded or counted as lost.
+func TestNothingIsLostUncounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &tank{hold: make(chan struct{})}
+		start := time.Now()
+		now := func() int64 { return 1 + time.Since(start).Microseconds() }
+		r := New(Options{Sample: 1, Buffer: 4096}, Boot{Name: "n"}, now, func(*Beat) {}, k)
+		go r.Run()
+		var all sync.WaitGroup
+		const callers, each = 8, 500
+		for c := range callers {
+			all.Go(func() {
+				for i := range each {
+					r.Request(now(), &Request{Class: uint8(c % 2), Took: int64(i), Tries: []Try{{"s-1", 1, 2, 0}}})
+					if i%50 == 49 {
+						time.Sleep(10 * time.Millisecond)
+					}
+				}
+			})
+		}
+		all.Wait() // though the sink has not taken a thing
+		close(k.hold)
+		time.Sleep(time.Second)
+		k.mu.Lock()
+		k.full = true
+		k.mu.Unlock()
+		for range 100 {
+			r.Request(now(), &Request{})
+		}
+		time.Sleep(2 * time.Second)
+		k.mu.Lock()
+		k.full = false
+		k.mu.Unlock()
+		for range 10 {
+			r.Request(now(), &Request{})
+		}
+		time.Sleep(2 * time.Second)
+		r.Close(t.Context())
+		requests, lost, counted, whys := k.sum(t)
+		if total := uint64(callers*each + 110); requests+lost != total || counted < total-lost || !whys["full"] || !whys["disk"] {
+			t.Errorf("%d recorded and %d lost of %d, %d counted, %v", requests, lost, total, counted, whys)
+		}
+	})
+}
+
+// Sampling keeps whole requests, about as many as asked for, and the summary counts them all.
+func TestSampling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		k := &tank{}
+		start := time.Now()
+		now := func() int64 { return 1 + time.Since(start).Microseconds() }
+		r := New(Options{Sample: 0.25}, Boot{Name: "n"}, now, func(*Beat) {}, k)
+		go r.Run()
+		for range 4000 {
+			time.Sleep(100 * time.Microsecond)
+			r.Request(now(), &Request{Volume: "v", Tries: []Try{{"s-1", 1, 2, 0}}})
+		}
+		r.Close(context.Background())
+		requests, lost, counted, _ := k.sum(t)
+		if lost != 0 || counted != 4000 || requests < 850 || requests > 1150 {
+			t.Errorf("%d recorded, %d lost, %d counted", requests, lost, counted)
+		}
+	})
+}
+
+// The folder stays within its bound, the oldest go first, and a broker whose name begins like another's is left alone.
+func TestFolderIsBounded(t *testing.T) {
+	dir := t.TempDir()
+	other := filepath.Join(dir, "n1-x-00ff-000001.seg")
+	if err := os.WriteFile(other, make([]byte, 1000), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	seq := uint64(0)
+	for _, boot := range []string{"00aa", "00bb"} {
+		d, err := NewDir(dir, "n1", boot, 1000, 5000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 40 {
+			seq++
+			if err := d.Write(&Frame{Seq: seq, Events: make([]byte, 300)}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Millisecond) // times of files tell their order
+		}
+		d.Close()
+	}
+	paths, _ := filepath.Glob(filepath.Join(dir, "n1-00*.seg"))
+	var size int64
+	for _, p := range paths {
+		info, err := os.Stat(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += info.Size()
+		if boot := filepath.Base(p)[3:7]; boot != "00bb" {
+			t.Errorf("%s is older than what was removed", p)
+		}
+	}
+	if size > 5500 || size < 3000 {
+		t.Errorf("%d bytes in %d files", size, len(paths))
+	}
+	if _, err := os.Stat(other); err != nil {
+		t.Error(err)
+	}
+}
+
+// What a request costs: recorded one by one, only counted, or without a recorder.
+func BenchmarkRequest(b *testing.B) {
+	q := &Request{Class: 1, Plan: 1, Volume: "00000003b4d60021", Units: 2, Shard: 3, Took: 41000, Tries: []Try{{"s-5be2a07c", 40, 40900, 0}}}
+	for _, x := range []struct {
+		name   string
+		sample float64
+	}{{"full", 1}, {"sampled", 0.01}} {
+		b.Run(x.name, func(b *testing.B) {
+			k := &counter{}
+			start := time.Now()
+			now := func() int64 { return time.Since(start).Microseconds() }
+			r := New(Options{Sample: x.sample, Buffer: 64 << 20}, Boot{Name: "n"}, now, func(*Beat) {}, k)
+			go r.Run()
+			n := 0
+			for b.Loop() {
+				r.Request(now(), q)
+				n++
+			}
+			r.Close(context.Background())
+			b.ReportMetric(float64(k.bytes)/float64(n), "B/request")
+			b.ReportMetric(float64(r.Dropped())/float64(n), "dropped/request")
+		})
+	}
+}
+
+type counter struct{ bytes int64 }
+
+func (c *counter) Write(f *Frame) error { c.bytes += int64(len(f.Events)) + frameHead; return nil }
+func (c *counter) Close() error         { return nil }
--- a/internal/serve/live.go
+++ b/internal/serve/live.go
@@ -27,6 +27,7 @@
 	gate   *core.Gate
 	level  *slog.LevelVar
 	hook   func(string)
+	rec    *recording
 
 	mu   sync.Mutex
 	file spec.Live // as the configuration has it
@@ -42,6 +43,8 @@
 	}
 	if cfg.Control != nil {
 		l.all = overlay.New(cfg.Zones)
+	}
+	if cfg.Control != nil || cfg.Record != nil {
 		w.Deliver(l.list)
 	}
 	return l
@@ -59,6 +62,7 @@
 }
 
 func (l *live) pass(nodes []core.Node, full bool) {
+	l.rec.list(l.table, nodes, full, l.watch.Rev())
 	l.table.Update(nodes, full) // first: what the module decides next is checked against it
 	l.facade.List(discovery.Members(nodes), full)
 }
@@ -164,19 +168,30 @@
 func (l *live) Describe(st *control.State) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	st.Figures = l.rec.figures()
 	st.Live, st.ListRev, st.Nodes, st.Open = l.inForce(), l.watch.Rev(), l.table.Len(), l.gate.Open()
 }
 
+// newBoot names a boot.
+func newBoot() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
 // control serves the endpoint until ctx is done. end, called at the start of a drain, has it take no more changes.
 func (l *live) control(ctx context.Context, cfg *config.Config, behind *sync.WaitGroup, log *slog.Logger) (end func(), err error) {
-	var id [8]byte
-	rand.Read(id[:])
+	id := newBoot()
+	if l.rec != nil {
+		id = l.rec.id // the boot has one name, here and in its records
+	}
 	ln, err := control.Listen(cfg.Control.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("control.listen: %w", err)
 	}
-	s := control.NewServer(cfg.Name, hex.EncodeToString(id[:]), cfg.Control.Started, l, log)
+	s := control.NewServer(cfg.Name, id, cfg.Control.Started, l, log)
 	s.SetHook(l.hook)
+	l.rec.control(s)
 	log.Info("control: listening", "addr", cfg.Control.Listen)
 	behind.Go(func() {
 		if err := s.Serve(ctx, ln); err != nil {
--- /dev/null
+++ b/internal/serve/recording.go
@@ -0,0 +1,205 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"runtime/metrics"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/config"
+	"poppyarch/internal/control"
+	"poppyarch/internal/core"
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/record"
+	"poppyarch/policy"
+)
+
+// recording joins a broker with its recorder. A nil one records nothing.
+type recording struct {
+	r     *record.Recorder
+	ring  *record.Ring
+	cfg   *config.Config
+	id    string
+	down  atomic.Bool // discovery's last call failed
+	watch atomic.Pointer[discovery.Client]
+}
+
+// newRecording starts a recorder as the configuration says, or returns nil.
+func newRecording(cfg *config.Config, c *clock.Clock, g *core.Gate, table *core.Nodes, log *slog.Logger) (*recording, error) {
+	if cfg.Record == nil {
+		return nil, nil
+	}
+	o := cfg.Record
+	x := &recording{cfg: cfg, id: newBoot()}
+	boot := record.Boot{Name: cfg.Name, ID: x.id}
+	for _, k := range cfg.Policy.Classes {
+		boot.Classes = append(boot.Classes, record.Class{Name: k.Name, Aim: k.Aim.Microseconds(), Due: k.Deadline.Microseconds(), Worth: k.Worth})
+	}
+	for _, p := range cfg.Policy.Plans {
+		boot.Plans = append(boot.Plans, record.Plan{Name: p.Name, Price: p.Price})
+	}
+	var sink record.Sink
+	if o.Dir == "" {
+		x.ring = record.NewRing(cfg.Name, x.id, int(o.Total))
+		sink = x.ring
+	} else {
+		d, err := record.NewDir(o.Dir, cfg.Name, x.id, o.Segment, o.Total)
+		if err != nil {
+			return nil, fmt.Errorf("record.dir: %w", err)
+		}
+		sink = d
+	}
+	heap := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	level := func(b *record.Beat) {
+		metrics.Read(heap)
+		b.Open, b.Heap, b.Threads, b.Nodes = g.Open(), heap[0].Value.Uint64(), int64(runtime.NumGoroutine()), int64(table.Len())
+		if w := x.watch.Load(); w != nil {
+			b.List = w.Rev()
+		}
+	}
+	x.r = record.New(record.Options{Sample: o.Sample, Flush: time.Duration(o.FlushMS) * time.Millisecond,
+		Beat: time.Duration(o.BeatMS) * time.Millisecond}, boot, c.Now, level, sink)
+	go x.r.Run()
+	log.Info("record: on", "dir", o.Dir, "sample", o.Sample, "boot", x.id)
+	return x, nil
+}
+
+// close writes what is left.
+func (x *recording) close() {
+	if x == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	x.r.Close(ctx)
+}
+
+func (x *recording) recorder() *record.Recorder {
+	if x == nil {
+		return nil
+	}
+	return x.r
+}
+
+func (x *recording) note(k record.Kind, subject, text string, value int64) {
+	if x != nil {
+		x.r.Note(k, subject, text, value)
+	}
+}
+
+// module records what the module believes of a node. Its words are "node N ...".
+func (x *recording) module(text string) {
+	if x == nil {
+		return
+	}
+	if rest, ok := strings.CutPrefix(text, "node "); ok {
+		node, what, _ := strings.Cut(rest, " ")
+		x.r.Note(record.KindNode, node, what, 0)
+	}
+}
+
+// list records the entries of a list that differ from what is known.
+func (x *recording) list(table *core.Nodes, nodes []core.Node, full bool, rev int64) {
+	if x == nil {
+		return
+	}
+	listed := map[string]bool{}
+	for _, n := range nodes {
+		listed[n.ID] = true
+		old, known := table.Get(n.ID)
+		switch {
+		case !known && n.State == policy.Gone:
+		case !known:
+			x.r.Note(record.KindList, n.ID, "known "+stateName(n.State)+" "+strconv.FormatInt(n.Started, 10), rev)
+		case old.State != n.State:
+			x.r.Note(record.KindList, n.ID, stateName(n.State), rev)
+		case old.Started != n.Started:
+			x.r.Note(record.KindList, n.ID, "started "+strconv.FormatInt(n.Started, 10), rev)
+		case old.Addr != n.Addr:
+			x.r.Note(record.KindList, n.ID, "moved "+n.Addr, rev)
+		}
+	}
+	if full {
+		for _, n := range table.All() {
+			if !listed[n.ID] {
+				x.r.Note(record.KindList, n.ID, "gone", rev)
+			}
+		}
+	}
+}
+
+func stateName(s policy.NodeState) string {
+	return map[policy.NodeState]string{policy.Ready: "up", policy.Draining: "draining", policy.Gone: "gone"}[s]
+}
+
+// discovery records its versions, and when it is out of reach.
+func (x *recording) discovery(w *discovery.Client) {
+	if x == nil {
+		return
+	}
+	x.watch.Store(w)
+	w.Tell(func(err error) {
+		if err != nil {
+			if !x.down.Swap(true) {
+				x.r.Note(record.KindDiscovery, "", "down: "+err.Error(), 0)
+			}
+			return
+		}
+		if x.down.Swap(false) {
+			x.r.Note(record.KindDiscovery, "", "answers", 0)
+		}
+	})
+}
+
+// control records changes of the fleet's, and gives the ring out.
+func (x *recording) control(s *control.Server) {
+	if x == nil {
+		return
+	}
+	s.Observe(func(c *control.Change, o *control.Outcome) {
+		x.r.Note(record.KindControl, strconv.FormatUint(c.Rev, 10), string(o.Code), int64(c.Revision))
+	})
+	if x.ring != nil {
+		s.Records(x.ring.Segment)
+	}
+}
+
+// figures are the last second's, for the fleet's view.
+func (x *recording) figures() *control.Figures {
+	if x == nil {
+		return nil
+	}
+	s := x.r.Latest()
+	if s == nil {
+		return nil
+	}
+	out := &control.Figures{Span: s.Span, Groups: []control.GroupCount{}, Nodes: []control.NodeFigure{}, Dropped: x.r.Dropped()}
+	for i := range s.Groups {
+		g := &s.Groups[i]
+		if int(g.Class) >= len(x.cfg.Policy.Classes) || int(g.Plan) >= len(x.cfg.Policy.Plans) {
+			continue
+		}
+		q := record.Of(&g.Latency)
+		out.Groups = append(out.Groups, control.GroupCount{Class: x.cfg.Policy.Classes[g.Class].Name, Plan: x.cfg.Policy.Plans[g.Plan].Name,
+			Served: g.Count[record.Served], Late: g.Late, Refused: g.Count[record.Refused], Failed: g.Count[record.Failed] + g.Count[record.Overdue],
+			P50: q.P50, P99: q.P99})
+	}
+	for i := range s.Nodes {
+		n := &s.Nodes[i]
+		q := record.Of(&n.Latency)
+		f := control.NodeFigure{Node: n.Node, Served: n.Outcomes[core.Served], Silent: n.Outcomes[core.TimedOut], P50: q.P50, P99: q.P99}
+		for k, c := range n.Outcomes {
+			if core.Outcome(k) != core.Served && core.Outcome(k) != core.TimedOut {
+				f.Other += c
+			}
+		}
+		out.Nodes = append(out.Nodes, f)
+	}
+	return out
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -18,6 +18,7 @@
 	"poppyarch/internal/node"
 	"poppyarch/internal/objectstore"
 	"poppyarch/internal/pool"
+	"poppyarch/internal/record"
 	"poppyarch/policy"
 )
 
@@ -35,18 +36,28 @@
 func Run(ctx context.Context, cfg *config.Config, listen Listen, reload *Reload, log *slog.Logger) error {
 	lim := &cfg.Limits
 	c := clock.New()
-	facade, err := policy.NewFacade(cfg.Policy, func(text string) { log.Info("module: " + text) })
+	table := core.NewNodes()
+	gate := core.NewGate(lim.MaxOpen)
+	rec, err := newRecording(cfg, c, gate, table, log)
+	if err != nil {
+		return err
+	}
+	defer rec.close()
+	facade, err := policy.NewFacade(cfg.Policy, func(text string) {
+		log.Info("module: " + text)
+		rec.module(text)
+	})
 	if err != nil {
 		return err
 	}
-	table := core.NewNodes()
 	known, err := cfg.Known.Nodes(cfg.Zones)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	gate := core.NewGate(lim.MaxOpen)
 	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
 	l := newLive(cfg, table, facade, watch, gate, reload)
+	l.rec = rec
+	rec.discovery(watch)
 	l.list(known, true)
 
 	// What the fronts stand on outlives them: it stops when they have drained.
@@ -77,15 +88,22 @@
 		conns := pool.New(lim, nodes, c)
 		behind.Go(func() { conns.Run(back) })
 		b := core.NewBroker(facade, table, gate, node.New(conns, c, lim), c, lim)
+		b.Record(rec.recorder())
 		fronts[cfg.Listen] = block.New(b, block.NewNames(&cfg.Policy, cfg.Shards, lim), clients, c, lim, log)
 	}
 	if cfg.Object != nil {
 		conns := pool.New(lim, nodes, c) // a pool of its own: its connections speak HTTP
 		behind.Go(func() { conns.Run(back) })
 		b := core.NewBroker(facade, table, gate, objectstore.New(conns, c, lim), c, lim)
+		b.Record(rec.recorder())
 		fronts[cfg.Object.Listen] = object.New(b, cfg, clients, c, log)
 	}
-	return run(ctx, cfg, fronts, listen, log)
+	defer context.AfterFunc(ctx, func() { rec.note(record.KindDrain, "", "draining", 0) })()
+	err = run(ctx, cfg, fronts, listen, log)
+	if err == nil {
+		rec.note(record.KindStop, "", "stopped", 0)
+	}
+	return err
 }
 
 // run serves the fronts and drains them.
