--- /dev/null
+++ b/internal/incident/stream.go
@@ -0,0 +1,283 @@
+// Package incident works out from brokers' records what happened: what is known when, which episodes there were, how
+// exactly their begins and ends are known, and what they cost. It does no I/O: a collector feeds it.
+package incident
+
+import (
+	"slices"
+	"sort"
+
+	"poppyarch/internal/record"
+	"poppyarch/internal/sketch"
+	"poppyarch/policy"
+)
+
+// Stream takes in the records of one boot of one broker, in the order of their frames. Times are the broker's own
+// until Analyse brings all to one clock.
+type Stream struct {
+	Name string
+	ID   string
+	Boot record.Boot // the last copy that could be read
+
+	frames  []frame
+	damaged []hole // bytes that could not be read, by the frames around them
+	lost    []record.Lost
+	beats   []beat
+	notes   []note
+	stopped bool
+	nodes   map[string]*seen
+	groups  map[int64]map[group]*tally // by second
+	volumes map[string]map[int64]int   // requests by second of arrival
+	latency map[uint8]*sketch.Index    // of served requests, by class
+	events  int
+	first   int64 // the earliest and the latest event
+	last    int64
+}
+
+type frame struct {
+	seq uint64
+	now int64
+}
+
+type hole struct {
+	after uint64 // the last frame before it
+	bytes int
+}
+
+type beat struct{ at, wall, open int64 }
+
+type note struct {
+	at      int64
+	kind    record.Kind
+	subject string
+	text    string
+	value   int64
+}
+
+// seen is what one boot saw of one node.
+type seen struct {
+	answers []int64 // when answers came
+	silent  []try   // attempts without an answer
+	refused []try   // and without a connection
+	latency map[int64]*sketch.Sketch
+}
+
+type try struct{ sent, done int64 }
+
+type group struct{ class, plan uint8 }
+
+// tally counts requests of one group in one second, by when they ended.
+type tally struct {
+	count [8]int64
+	late  int64
+	units float64
+	worth float64 // of what was refused, failed or late
+}
+
+// NewStream returns an empty one.
+func NewStream(name, id string) *Stream {
+	return &Stream{Name: name, ID: id, nodes: map[string]*seen{}, groups: map[int64]map[group]*tally{},
+		volumes: map[string]map[int64]int{}, latency: map[uint8]*sketch.Index{}}
+}
+
+// Frame takes in that a frame is there.
+func (s *Stream) Frame(seq uint64, now int64) { s.frames = append(s.frames, frame{seq, now}) }
+
+// Damage takes in that bytes behind frame after could not be read.
+func (s *Stream) Damage(after uint64, bytes int) { s.damaged = append(s.damaged, hole{after, bytes}) }
+
+// Newest is the number of the last frame taken in; 0: none.
+func (s *Stream) Newest() uint64 {
+	if len(s.frames) == 0 {
+		return 0
+	}
+	return s.frames[len(s.frames)-1].seq
+}
+
+// second is the slot of a time.
+const second = int64(1_000_000)
+
+func slot(at int64) int64 { return at - at%second }
+
+// Event takes in one event.
+func (s *Stream) Event(e *record.Event) {
+	s.events++
+	end := e.At
+	switch e.Kind {
+	case record.KindBoot:
+		s.Boot = *e.Boot
+	case record.KindBeat:
+		s.beats = append(s.beats, beat{e.At, e.Beat.Wall, e.Beat.Open})
+	case record.KindLost:
+		s.lost = append(s.lost, *e.Lost)
+	case record.KindSummary:
+	case record.KindRequest:
+		end += e.Request.Took
+		s.request(e.At, e.Request)
+	default:
+		if e.Kind == record.KindStop {
+			s.stopped = true
+		}
+		s.notes = append(s.notes, note{e.At, e.Kind, e.Note.Subject, e.Note.Text, e.Note.Value})
+	}
+	if s.first == 0 || e.At < s.first {
+		s.first = e.At
+	}
+	s.last = max(s.last, end)
+}
+
+func (s *Stream) request(at int64, q *record.Request) {
+	if v := s.volumes[q.Volume]; v != nil {
+		v[slot(at)]++
+	} else {
+		s.volumes[q.Volume] = map[int64]int{slot(at): 1}
+	}
+	sec := slot(at + q.Took)
+	byGroup := s.groups[sec]
+	if byGroup == nil {
+		byGroup = map[group]*tally{}
+		s.groups[sec] = byGroup
+	}
+	g := group{q.Class, q.Plan}
+	t := byGroup[g]
+	if t == nil {
+		t = &tally{}
+		byGroup[g] = t
+	}
+	t.count[q.Answer%8]++
+	t.units += q.Units
+	worth := 1.0
+	if int(q.Class) < len(s.Boot.Classes) {
+		worth *= s.Boot.Classes[q.Class].Worth
+	}
+	if int(q.Plan) < len(s.Boot.Plans) {
+		worth *= s.Boot.Plans[q.Plan].Price
+	}
+	switch {
+	case q.Answer == record.Served:
+		if int(q.Class) < len(s.Boot.Classes) && q.Took > s.Boot.Classes[q.Class].Aim {
+			t.late++
+			t.worth += worth * q.Units
+		}
+		x := s.latency[q.Class]
+		if x == nil {
+			x = sketch.NewIndex(second)
+			s.latency[q.Class] = x
+		}
+		x.Add(at+q.Took, q.Took)
+	case q.Answer != record.Left:
+		t.worth += worth * q.Units
+	}
+	for i := range q.Tries {
+		y := &q.Tries[i]
+		n := s.nodes[y.Node]
+		if n == nil {
+			n = &seen{latency: map[int64]*sketch.Sketch{}}
+			s.nodes[y.Node] = n
+		}
+		sent := at + y.Sent
+		done := sent + y.Took
+		switch policy.Outcome(y.Outcome) {
+		case policy.Served, policy.NodeError, policy.TurnedAway, policy.Spoilt: // it said something
+			n.answers = append(n.answers, done)
+			if policy.Outcome(y.Outcome) == policy.Served {
+				k := n.latency[slot(done)]
+				if k == nil {
+					k = &sketch.Sketch{}
+					n.latency[slot(done)] = k
+				}
+				k.Add(y.Took)
+			}
+		case policy.TimedOut:
+			n.silent = append(n.silent, try{sent, done})
+		case policy.NoConnection, policy.ConnectionLost:
+			n.refused = append(n.refused, try{sent, done})
+		}
+	}
+}
+
+// State is what is known of a broker at a time.
+type State string
+
+// The states of knowledge.
+const (
+	Known       State = "known"
+	Lost        State = "lost"         // dropped under load or for want of room, and counted
+	Damaged     State = "damaged"      // bytes that cannot be read
+	Missing     State = "missing"      // frames that are nowhere
+	Stalled     State = "stalled"      // the process wrote nothing for longer than its heartbeat
+	Dead        State = "dead"         // from the last word of a boot that did not say it stopped, to the next boot
+	Stopped     State = "stopped"      // it said that it stopped
+	NotRecorded State = "not recorded" // before the first word there is, and after the last of one that may still run
+)
+
+// Span is a broker's knowledge from one time to another. Slack is how far From may be off to the later side: a broker
+// that dies has its last word up to a heartbeat before.
+type Span struct {
+	Broker string `json:"broker"`
+	State  State  `json:"state"`
+	From   int64  `json:"from"`
+	To     int64  `json:"to"`
+	Slack  int64  `json:"slack,omitempty"`
+	Boot   string `json:"boot,omitempty"`
+	Events uint64 `json:"events,omitempty"` // lost, or bytes damaged
+	Text   string `json:"text,omitempty"`
+}
+
+// knowledge lists one boot's spans, by its own clock.
+func (s *Stream) knowledge() (out []Span) {
+	if len(s.frames) == 0 {
+		return nil
+	}
+	frames := slices.Clone(s.frames)
+	sort.Slice(frames, func(a, b int) bool { return frames[a].seq < frames[b].seq })
+	period := max(s.Boot.Beat, 1)
+	add := func(st State, from, to int64, events uint64, text string) {
+		if to > from || events > 0 {
+			out = append(out, Span{Broker: s.Name, Boot: s.ID, State: st, From: from, To: to, Events: events, Text: text})
+		}
+	}
+	if f := frames[0]; f.seq > 1 && s.Boot.Began > 0 {
+		add(Missing, s.Boot.Began, s.first, 0, "the boot's first records have been removed or are nowhere")
+	}
+	for i := 1; i < len(frames); i++ {
+		a, b := frames[i-1], frames[i]
+		switch {
+		case b.seq == a.seq: // a copy
+			continue
+		case b.seq > a.seq+1:
+			st, text, n := Missing, "frames are missing", uint64(0)
+			for _, h := range s.damaged {
+				if h.after >= a.seq && h.after < b.seq {
+					st, text, n = Damaged, "bytes cannot be read", n+uint64(h.bytes)
+				}
+			}
+			if slices.ContainsFunc(s.lost, func(l record.Lost) bool { return l.Why == "disk" && l.From <= b.now && l.To >= a.now-period }) && st == Missing {
+				continue // the lost record says it better
+			}
+			add(st, a.now, b.now, n, text)
+		case b.now-a.now > 2*period+period/2:
+			add(Stalled, a.now, b.now, 0, "no heartbeat")
+		}
+	}
+	for _, l := range s.lost {
+		add(Lost, l.From, max(l.To, l.From+1), l.Events, "no room in the "+map[string]string{"disk": "folder", "full": "buffers"}[l.Why])
+	}
+	return out
+}
+
+// end is a boot's last word.
+func (s *Stream) end() int64 {
+	last := s.last
+	for _, f := range s.frames {
+		last = max(last, f.now)
+	}
+	return last
+}
+
+// begin is its first.
+func (s *Stream) begin() int64 {
+	if s.Boot.Began > 0 {
+		return s.Boot.Began
+	}
+	return s.first
+}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -66,7 +66,7 @@
 				events = e.Append(events, base)
 				want = append(want, e)
 			}
-			f := Frame{Seq: uint64(k + 1), At: base, Wall: 5, Events: events}
+			f := Frame{Seq: uint64(k + 1), At: base, Now: 5, Events: events}
 			frames = append(frames, len(want))
 			b = f.Append(b)
 		}
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -325,7 +325,7 @@
 // write hands events to the sink. A frame that it does not take leaves its number out.
 func (r *Recorder) write(events []byte, base int64) bool {
 	r.seq++
-	return r.sink.Write(&Frame{Seq: r.seq, At: base, Wall: time.Now().UnixMicro(), Events: events}) == nil
+	return r.sink.Write(&Frame{Seq: r.seq, At: base, Now: r.now(), Events: events}) == nil
 }
 
 // frame hands events to the sink. What it does not take is remembered, to be told once it takes something again.
--- a/internal/record/segment.go
+++ b/internal/record/segment.go
@@ -17,7 +17,7 @@
 const (
 	segMagic  = "PASEG\x00\x00\x01"
 	frameMark = 0xA7C3F05B
-	// mark, length, sum, running number, clock, wall clock
+	// mark, length, sum, running number, base of the times, clock
 	frameHead = 4 + 4 + 4 + 8 + 8 + 8
 	maxFrame  = 16 << 20
 )
@@ -27,8 +27,8 @@
 // Frame is one batch of events. Seq runs on over all segments of a boot, from 1.
 type Frame struct {
 	Seq    uint64
-	At     int64 // the broker's clock when it was drained; event times count from it
-	Wall   int64
+	At     int64 // on the broker's clock; event times count from it
+	Now    int64 // on the broker's clock, when it was written
 	Events []byte
 }
 
@@ -40,7 +40,7 @@
 	b = append(b, 0, 0, 0, 0)
 	b = binary.LittleEndian.AppendUint64(b, f.Seq)
 	b = binary.LittleEndian.AppendUint64(b, uint64(f.At))
-	b = binary.LittleEndian.AppendUint64(b, uint64(f.Wall))
+	b = binary.LittleEndian.AppendUint64(b, uint64(f.Now))
 	b = append(b, f.Events...)
 	binary.LittleEndian.PutUint32(b[at+8:], crc32.Checksum(b[at+12:], castagnoli))
 	return b
@@ -60,7 +60,7 @@
 		return f, 0
 	}
 	return Frame{Seq: binary.LittleEndian.Uint64(b[12:]), At: int64(binary.LittleEndian.Uint64(b[20:])),
-		Wall: int64(binary.LittleEndian.Uint64(b[28:])), Events: b[frameHead:n]}, n
+		Now: int64(binary.LittleEndian.Uint64(b[28:])), Events: b[frameHead:n]}, n
 }
 
 // SegmentHead opens a segment file.
