Incidents held against a known truth: a checker, emulated worlds, drawn ones

Need: a report that fills gaps in or invents episodes is worse than none.

internal/incident/check fails on a missing and an invented episode, on bounds that do not hold the truth, and on gaps that are filled in, misplaced or invented; a test shows that it does. Twelve scripted worlds with overlapping failures on six seeds each, and thirty drawn ones with clocks up to 2 s apart, are reported right.

--- /dev/null
+++ b/internal/incident/incident_test.go
@@ -0,0 +1,385 @@
+package incident_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"poppyarch/internal/incident"
+	"poppyarch/internal/incident/check"
+	"poppyarch/internal/incident/report"
+	"poppyarch/internal/record"
+	"poppyarch/policy"
+)
+
+const (
+	ms  = int64(1000)
+	sec = int64(1_000_000)
+)
+
+// span is from one time to another, from the world's begin.
+type span struct{ from, to int64 }
+
+func (s span) has(t int64) bool { return t >= s.from && t < s.to }
+
+// world is an emulated fleet of which everything is known.
+type world struct {
+	r       *rand.Rand
+	zero    int64
+	length  int64
+	brokers int
+	nodes   int
+	rate    float64 // requests a second at each broker
+	clocks  []int64 // how far each broker's clock is ahead
+	silent  map[int][]span
+	slow    map[int][]span
+	drained map[int]span
+	dead    map[int][]span
+	dropped map[int][]span // the recorder has no room
+	cut     map[int][]span // frames are removed
+	surge   map[string]span
+	discoff *span
+	usual   time.Duration
+}
+
+func newWorld(seed uint64) *world {
+	return &world{r: rand.New(rand.NewPCG(seed, 7)), zero: 1_800_000_000 * sec, length: 60 * sec, brokers: 3, nodes: 4, rate: 60,
+		clocks: make([]int64, 3), silent: map[int][]span{}, slow: map[int][]span{}, drained: map[int]span{}, dead: map[int][]span{},
+		dropped: map[int][]span{}, cut: map[int][]span{}, surge: map[string]span{}}
+}
+
+func in(list []span, t int64) bool {
+	return slices.ContainsFunc(list, func(s span) bool { return s.has(t) })
+}
+
+// ended is the first begin of a span after t, up to to.
+func cutsInto(list []span, t, to int64) bool {
+	return slices.ContainsFunc(list, func(s span) bool { return s.from > t && s.from <= to })
+}
+
+// serve is one request at broker b at t: its attempts go to nodes as the world has them.
+func (w *world) serve(b int, t int64, volume string) (record.Event, int64) {
+	q := &record.Request{Class: 0, Plan: 0, Volume: volume, Units: 1}
+	at := t
+	for n := 0; n < 3; n++ {
+		node := w.r.IntN(w.nodes)
+		if d, ok := w.drained[node]; ok && d.has(at) {
+			node = (node + 1) % w.nodes
+		}
+		took := int64(w.r.ExpFloat64()*8*float64(ms)) + 12*ms
+		if in(w.slow[node], at) {
+			took *= 8
+		}
+		if in(w.silent[node], at) || cutsInto(w.silent[node], at, at+took) {
+			q.Tries = append(q.Tries, record.Try{Node: fmt.Sprint("s-", node), Sent: at - t, Took: 600 * ms, Outcome: uint8(policy.TimedOut)})
+			at += 600 * ms
+			q.Answer = record.Overdue
+			continue
+		}
+		q.Tries = append(q.Tries, record.Try{Node: fmt.Sprint("s-", node), Sent: at - t, Took: took, Outcome: uint8(policy.Served)})
+		at += took
+		q.Answer = record.Served
+		break
+	}
+	q.Took = at - t
+	return record.Event{At: t, Kind: record.KindRequest, Request: q}, at
+}
+
+// streams plays the world and returns what its brokers recorded.
+func (w *world) streams() (out []*incident.Stream) {
+	for b := range w.brokers {
+		up := int64(0)
+		for k := 0; ; k++ {
+			down, back := w.length, int64(-1)
+			for _, d := range w.dead[b] {
+				if d.from > up && d.from < down {
+					down, back = d.from, d.to
+				}
+			}
+			out = append(out, w.boot(b, k, up, down))
+			if back < 0 || back >= w.length {
+				break
+			}
+			up = back
+		}
+	}
+	return out
+}
+
+func (w *world) boot(b, k int, up, down int64) *incident.Stream {
+	type item struct {
+		end int64
+		e   record.Event
+	}
+	var items []item
+	note := func(t int64, kind record.Kind, subject, text string, value int64) {
+		if t >= up && t < down {
+			items = append(items, item{t, record.Event{At: t, Kind: kind, Note: &record.Note{Subject: subject, Text: text, Value: value}}})
+		}
+	}
+	for t := up; t < down; t += int64(w.r.ExpFloat64() / w.rate * float64(sec)) {
+		e, end := w.serve(b, t, fmt.Sprintf("v%d", w.r.IntN(6)))
+		if end < down {
+			items = append(items, item{end, e})
+		}
+	}
+	for volume, s := range w.surge {
+		for t := max(s.from, up); t < min(s.to, down); t += int64(w.r.ExpFloat64() / (w.rate * 2) * float64(sec)) {
+			e, end := w.serve(b, t, volume)
+			if end < down {
+				items = append(items, item{end, e})
+			}
+		}
+	}
+	for node, d := range w.drained {
+		delay := w.r.Int64N(200 * ms)
+		note(d.from+delay, record.KindList, fmt.Sprint("s-", node), "draining", 10+int64(node))
+		note(d.to+w.r.Int64N(200*ms), record.KindList, fmt.Sprint("s-", node), "up", 20+int64(node))
+	}
+	for v := int64(0); v < w.length/(5*sec); v++ { // the list changes now and then, so that clocks can be told
+		note(v*5*sec+2*sec+w.r.Int64N(150*ms), record.KindList, "s-x", fmt.Sprint("started ", v), 100+v)
+	}
+	if d := w.discoff; d != nil {
+		note(d.from+w.r.Int64N(2*sec), record.KindDiscovery, "", "down: status 503", 0)
+		note(d.to+w.r.Int64N(2*sec), record.KindDiscovery, "", "answers", 0)
+	}
+	for t := up; t < down; t += 500 * ms {
+		items = append(items, item{t, record.Event{At: t, Kind: record.KindBeat, Beat: &record.Beat{Wall: t}}})
+	}
+	sort.SliceStable(items, func(x, y int) bool { return items[x].end < items[y].end })
+	ahead := w.zero + w.clocks[b]
+	s := incident.NewStream(fmt.Sprintf("n%d", b), fmt.Sprintf("boot%d-%d", b, k))
+	s.Event(&record.Event{At: up + ahead, Kind: record.KindBoot, Boot: &record.Boot{Name: s.Name, ID: s.ID, Began: up + ahead, Beat: 500 * ms, Sample: 1,
+		Classes: []record.Class{{Name: "artwork-read", Aim: 400 * ms, Due: 2500 * ms, Worth: 2}}, Plans: []record.Plan{{Name: "basis", Price: 0.8}}}})
+	s.Frame(1, up+ahead)
+	seq := uint64(1)
+	next := 0
+	for t := up + 50*ms; t < down; t += 50 * ms { // what was not written when it died is lost with it
+		seq++
+		missing := in(w.cut[b], t)
+		if !missing {
+			s.Frame(seq, t+ahead)
+		}
+		var lost record.Lost
+		for next < len(items) && items[next].end < t {
+			x := items[next]
+			next++
+			if missing {
+				continue
+			}
+			if in(w.dropped[b], x.end) && x.e.Kind == record.KindRequest {
+				if lost.Events == 0 {
+					lost.From = x.end + ahead
+				}
+				lost.Events, lost.Requests, lost.To, lost.Why = lost.Events+1, lost.Requests+1, x.end+ahead, "full"
+				continue
+			}
+			x.e.At += ahead
+			s.Event(&x.e)
+		}
+		if lost.Events > 0 {
+			s.Event(&record.Event{At: t + ahead, Kind: record.KindLost, Lost: &lost})
+		}
+	}
+	return s
+}
+
+// truths lists what was played, on the clock of broker ref.
+func (w *world) truths(ahead int64) (out []check.Truth, gaps []check.Gap) {
+	z := w.zero + ahead
+	for n, list := range w.silent {
+		for _, s := range list {
+			out = append(out, check.Truth{Kind: incident.NodeSilent, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
+		}
+	}
+	for n, list := range w.slow {
+		for _, s := range list {
+			out = append(out, check.Truth{Kind: incident.NodeSlow, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
+		}
+	}
+	for n, s := range w.drained {
+		out = append(out, check.Truth{Kind: incident.NodeDrain, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
+	}
+	for v, s := range w.surge {
+		out = append(out, check.Truth{Kind: incident.VolumeSurge, Subject: v, Begin: z + s.from, End: z + s.to})
+	}
+	for b, list := range w.dead {
+		for _, s := range list {
+			out = append(out, check.Truth{Kind: incident.BrokerDead, Subject: fmt.Sprint("n", b), Begin: z + s.from, End: z + min(s.to, w.length)})
+			gaps = append(gaps, check.Gap{Broker: fmt.Sprint("n", b), State: incident.Dead, From: z + s.from, To: z + min(s.to, w.length)})
+		}
+	}
+	if s := w.discoff; s != nil {
+		out = append(out, check.Truth{Kind: incident.DiscoveryDown, Subject: "discovery", Begin: z + s.from, End: z + s.to})
+	}
+	for b, list := range w.cut {
+		for _, s := range list {
+			gaps = append(gaps, check.Gap{Broker: fmt.Sprint("n", b), State: incident.Missing, From: z + s.from, To: z + s.to})
+		}
+	}
+	for b, list := range w.dropped {
+		for _, s := range list {
+			for t := s.from; t < s.to; t += 50 * ms { // told frame by frame
+				gaps = append(gaps, check.Gap{Broker: fmt.Sprint("n", b), State: incident.Lost, From: z + t, To: z + t + 50*ms})
+			}
+		}
+	}
+	return out, gaps
+}
+
+// kinds that the emulated worlds have; the rest would be invented.
+var kinds = []incident.Kind{incident.BrokerDead, incident.NodeSilent, incident.NodeDown, incident.NodeSlow, incident.NodeDrain, incident.VolumeSurge,
+	incident.DiscoveryDown, incident.Refusals, incident.Rollout}
+
+func (w *world) check(t *testing.T, what string) *incident.Analysis {
+	t.Helper()
+	o := incident.DefaultOptions()
+	a := incident.Analyse(w.streams(), o)
+	ahead, most := int64(0), int64(0)
+	for i, c := range a.Clocks {
+		if strings.Contains(c.Text, "reference") {
+			fmt.Sscanf(a.Clocks[i].Broker, "n%d", &ahead)
+			ahead = w.clocks[ahead]
+		}
+		most = max(most, c.Error)
+	}
+	truths, gaps := w.truths(ahead)
+	wrong := check.Compare(a, truths, gaps, check.Options{Slack: most + 50*ms, Gap: most + 600*ms, Kinds: kinds})
+	for _, x := range wrong {
+		t.Errorf("%s: %s", what, x)
+	}
+	if err := report.HTML(io.Discard, a, "x"); err != nil {
+		t.Error(err)
+	}
+	if err := report.Text(io.Discard, a); err != nil {
+		t.Error(err)
+	}
+	return a
+}
+
+// Overlapping failures as the issue names them, each for itself and together: every one is reported within its bounds, none is
+// invented, and gaps are where they were.
+func TestScriptedIncidents(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		for name, play := range map[string]func(*world){
+			"calm":        func(w *world) {},
+			"node silent": func(w *world) { w.silent[1] = []span{{20 * sec, 31 * sec}} },
+			"broker dies while a node goes silent": func(w *world) {
+				w.silent[2] = []span{{20 * sec, 35 * sec}}
+				w.dead[0] = []span{{19 * sec, 27 * sec}}
+			},
+			"nobody saw the silence begin": func(w *world) {
+				w.silent[2] = []span{{21 * sec, 35 * sec}}
+				for b := range 3 {
+					w.dead[b] = []span{{20*sec + int64(b)*100*ms, 24*sec + int64(b)*300*ms}}
+				}
+			},
+			"dies and returns within a heartbeat": func(w *world) { w.dead[1] = []span{{30 * sec, 30*sec + 300*ms}} },
+			"overflow in a surge": func(w *world) {
+				w.surge["v3"] = span{25 * sec, 34 * sec}
+				w.dropped[1] = []span{{28 * sec, 30 * sec}}
+			},
+			"frames gone":       func(w *world) { w.cut[2] = []span{{15 * sec, 22 * sec}} },
+			"drain and silence": func(w *world) { w.drained[0] = span{14 * sec, 40 * sec}; w.silent[3] = []span{{20 * sec, 30 * sec}} },
+			"slow node":         func(w *world) { w.slow[1] = []span{{20 * sec, 32 * sec}} },
+			"discovery down while a broker is dead": func(w *world) {
+				w.discoff = &span{20 * sec, 33 * sec}
+				w.dead[2] = []span{{25 * sec, 29 * sec}}
+			},
+			"clocks apart": func(w *world) {
+				w.clocks = []int64{0, 3 * sec, -2 * sec}
+				w.silent[1] = []span{{20 * sec, 31 * sec}}
+			},
+			"everything at once": func(w *world) {
+				w.silent[1] = []span{{12 * sec, 24 * sec}, {40 * sec, 48 * sec}}
+				w.dead[0] = []span{{13 * sec, 19 * sec}, {44 * sec, 70 * sec}}
+				w.surge["v2"] = span{30 * sec, 38 * sec}
+				w.cut[1] = []span{{32 * sec, 34 * sec}}
+				w.drained[3] = span{25 * sec, 50 * sec}
+			},
+		} {
+			w := newWorld(seed)
+			play(w)
+			w.check(t, fmt.Sprintf("%s, seed %d", name, seed))
+			if t.Failed() {
+				return
+			}
+		}
+	}
+}
+
+// Worlds that the analysis was not written against: drawn at random.
+func TestDrawnIncidents(t *testing.T) {
+	for seed := uint64(100); seed < 130; seed++ {
+		w := newWorld(seed)
+		at := func(from, to int64) int64 { return from + w.r.Int64N(to-from) }
+		long := func() span { s := at(8*sec, 35*sec); return span{s, s + at(5*sec, 14*sec)} }
+		for _, b := range w.r.Perm(3)[:w.r.IntN(3)] {
+			w.dead[b] = []span{long()}
+		}
+		for _, n := range w.r.Perm(4)[:w.r.IntN(3)] {
+			w.silent[n] = []span{long()}
+		}
+		if w.r.IntN(2) == 0 {
+			w.surge[fmt.Sprint("v", w.r.IntN(6))] = long()
+		}
+		if w.r.IntN(3) == 0 {
+			w.discoff = &span{20 * sec, at(27*sec, 40*sec)}
+		}
+		for b := range w.clocks {
+			w.clocks[b] = at(-2*sec, 2*sec)
+		}
+		w.check(t, fmt.Sprint("seed ", seed))
+		if t.Failed() {
+			return
+		}
+	}
+}
+
+// The checker finds what it is for.
+func TestCheckerFindsFaults(t *testing.T) {
+	w := newWorld(3)
+	w.silent[1] = []span{{20 * sec, 31 * sec}}
+	w.dead[0] = []span{{40 * sec, 45 * sec}}
+	a := incident.Analyse(w.streams(), incident.DefaultOptions())
+	truths, gaps := w.truths(0)
+	o := check.Options{Slack: 600 * ms, Gap: 600 * ms, Kinds: kinds}
+	if wrong := check.Compare(a, truths, gaps, o); len(wrong) > 0 {
+		t.Fatal(wrong)
+	}
+	expect := func(what, word string, a *incident.Analysis, truths []check.Truth, gaps []check.Gap) {
+		t.Helper()
+		if wrong := strings.Join(check.Compare(a, truths, gaps, o), "\n"); !strings.Contains(wrong, word) {
+			t.Errorf("%s: %q", what, wrong)
+		}
+	}
+	expect("an episode that nobody played", "invented", a, truths[:0], gaps)
+	expect("an episode that is not there", "missing", a, append(slices.Clone(truths), check.Truth{Kind: incident.NodeSilent, Subject: "s-3", Begin: 1, End: 2}), gaps)
+	off := slices.Clone(truths)
+	off[0].Begin -= 5 * sec
+	expect("a wrong begin", "reported as", a, off, gaps)
+	expect("a gap that is filled in", "known from", a, truths, []check.Gap{{Broker: "n1", State: incident.Dead, From: w.zero + 10*sec, To: w.zero + 15*sec}})
+	expect("a gap that nobody made", "invented", a, truths, nil)
+}
+
+// Two incidents against each other.
+func TestDiff(t *testing.T) {
+	x, y := newWorld(1), newWorld(1)
+	x.silent[1] = []span{{20 * sec, 31 * sec}}
+	y.silent[1] = []span{{20 * sec, 26 * sec}}
+	y.dead[0] = []span{{40 * sec, 45 * sec}}
+	var got []string
+	for _, c := range incident.Diff(incident.Analyse(x.streams(), incident.DefaultOptions()), incident.Analyse(y.streams(), incident.DefaultOptions())) {
+		if c.Kind != incident.NodeRestart {
+			got = append(got, c.What+" "+string(c.Kind)+" "+c.Who)
+		}
+	}
+	if want := []string{"in both node silent s-1", "only in the second broker dead n0"}; !slices.Equal(got, want) {
+		t.Errorf("got %q", got)
+	}
+}
