Console: the fleet live in a terminal, each figure with its age

Need: to see the fleet as it is, from one place.

poppyarch fleet console shows instances, nodes, volumes, classes and rollouts over the manager, with drill-down, at 80 columns and without colour.

--- /dev/null
+++ b/cmd/poppyarch/console.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"poppyarch/internal/console"
+	"poppyarch/internal/fleet/api"
+)
+
+// consoleCommand is `poppyarch fleet console`.
+func (f *fleetFlags) consoleCommand() *cobra.Command {
+	var every time.Duration
+	c := &cobra.Command{
+		Use: "console", Short: "Show the fleet live in the terminal",
+		Long: "Shows instances, nodes, volumes, classes and rollouts, each figure with its age. Figures come from brokers with a record key. " +
+			"Without colour where NO_COLOR is set.",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s, err := f.load()
+			if err != nil {
+				return err
+			}
+			client := api.NewClient(s.Fleet.Manager)
+			defer client.Close()
+			m := console.New(func(ctx context.Context) (api.Overview, error) { return client.Overview(ctx, nil, nil) }, every, os.Getenv("NO_COLOR") == "")
+			return console.Run(cmd.Context(), m)
+		},
+	}
+	c.Flags().DurationVar(&every, "every", time.Second, "between two looks")
+	return c
+}
--- a/cmd/poppyarch/fleet.go
+++ b/cmd/poppyarch/fleet.go
@@ -97,7 +97,7 @@
 	p.StringVar(&f.id, "id", "", "the command's id; asked again with the same id, it is carried out once")
 	p.StringVar(&f.level, "log", "info", "of manager and agent: debug, info, warn or error")
 	c.AddCommand(f.managerCommand(), f.agentCommand(), f.statusCommand(), f.applyCommand("apply"), f.applyCommand("plan"),
-		f.applyCommand("diff"), f.rolloutCommand(), f.nodesCommand(), f.historyCommand(), f.waitCommand())
+		f.applyCommand("diff"), f.rolloutCommand(), f.nodesCommand(), f.historyCommand(), f.waitCommand(), f.consoleCommand())
 	for _, sub := range c.Commands() {
 		if sub.Args == nil {
 			sub.Args = usage(cobra.NoArgs)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -37,10 +37,11 @@
 
 // Figures are what a broker did in a span of time. Times are microseconds.
 type Figures struct {
-	Span    int64        `json:"span"`
-	Groups  []GroupCount `json:"groups"`
-	Nodes   []NodeFigure `json:"nodes"`
-	Dropped uint64       `json:"dropped,omitempty"` // records that found no room, since the boot
+	Span    int64          `json:"span"`
+	Groups  []GroupCount   `json:"groups"`
+	Nodes   []NodeFigure   `json:"nodes"`
+	Volumes []VolumeFigure `json:"volumes"`           // those that came most often
+	Dropped uint64         `json:"dropped,omitempty"` // records that found no room, since the boot
 }
 
 // GroupCount is the requests of one class and plan.
@@ -55,6 +56,16 @@
 	P99     int64  `json:"p99"`
 }
 
+// VolumeFigure is the requests of a volume. Count may be too high by Error.
+type VolumeFigure struct {
+	Volume  string `json:"volume"`
+	Count   uint64 `json:"count"`
+	Error   uint64 `json:"error,omitempty"`
+	Refused uint64 `json:"refused"`
+	Failed  uint64 `json:"failed"`
+	Late    uint64 `json:"late"`
+}
+
 // NodeFigure is the attempts at one node.
 type NodeFigure struct {
 	Node   string `json:"node"`
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -4,6 +4,7 @@
 import (
 	"errors"
 
+	"poppyarch/internal/control"
 	"poppyarch/internal/fleet/spec"
 	"poppyarch/internal/fleet/state"
 )
@@ -56,6 +57,15 @@
 	Have    uint64         `json:"have"` // version of the assignments that it works by
 	Full    bool           `json:"full"`
 	Reports []state.Report `json:"reports"`
+	Figures []Figures      `json:"figures,omitempty"`
+}
+
+// Figures are what a broker did lately.
+type Figures struct {
+	Name    string           `json:"name"`
+	Age     int64            `json:"age_us"` // when they are sent, since the broker said them
+	Open    int64            `json:"open"`   // requests taken and not answered
+	Figures *control.Figures `json:"figures"`
 }
 
 // AssignCall asks for assignments newer than Have, and waits for some.
@@ -122,6 +132,7 @@
 	Agents      []state.AgentStatus   `json:"agents"`
 	Rollouts    []state.RolloutStatus `json:"rollouts"`
 	Nodes       []spec.Node           `json:"nodes"`
+	Figures     []Figures             `json:"figures,omitempty"`
 	Journal     string                `json:"journal,omitempty"` // what is wrong with it
 }
 
--- a/internal/fleet/manager/manager.go
+++ b/internal/fleet/manager/manager.go
@@ -42,6 +42,13 @@
 	news    chan struct{} // closed when something has changed
 	fatal   chan struct{} // closed with broken
 	wake    chan struct{}
+	figures map[string]figures
+}
+
+// figures are a broker's, with when they were said.
+type figures struct {
+	api.Figures
+	at int64
 }
 
 // Open reads the journal in fs and returns a manager; Run starts it.
@@ -60,7 +67,7 @@
 		return nil, err
 	}
 	m := &Manager{opt: opt, log: log, clock: clock.New(), epoch: random(), j: j, news: make(chan struct{}),
-		fatal: make(chan struct{}), wake: make(chan struct{}, 1)}
+		figures: map[string]figures{}, fatal: make(chan struct{}), wake: make(chan struct{}, 1)}
 	if o.Report.Torn > 0 {
 		log.Warn("manager: the journal's last record was unfinished and is cut off", "bytes", o.Report.Torn)
 	}
@@ -257,6 +264,9 @@
 	if err := m.s.Observe(c.Agent, c.Token, c.Seq, c.Have, c.Full, c.Reports, m.clock.Now()); err != nil {
 		return err
 	}
+	for _, f := range c.Figures {
+		m.figures[f.Name] = figures{f, m.clock.Now() - f.Age}
+	}
 	if len(c.Reports) > 0 || c.Full {
 		close(m.news)
 		m.news = make(chan struct{})
@@ -379,8 +389,19 @@
 	defer m.mu.Unlock()
 	nodes, _ := m.s.NodeChanges()
 	out, of := m.s.Unavailable()
-	return api.Overview{Fleet: m.s.Fleet(), Rev: m.s.Rev(), Settled: m.s.Settled(), Unavailable: out, Enabled: of,
-		Differing: m.s.Differing(), Instances: m.s.Instances(sel), Agents: m.s.Agents(), Rollouts: m.s.Rollouts(5),
+	list := m.s.Instances(sel)
+	var figs []api.Figures
+	for _, i := range list {
+		if f, ok := m.figures[i.Name]; ok && i.Seen.Boot != "" {
+			f.Age = m.clock.Now() - f.at
+			figs = append(figs, f.Figures)
+		}
+	}
+	if len(m.figures) > 2*len(list)+1000 { // of instances that are long gone
+		clear(m.figures)
+	}
+	return api.Overview{Figures: figs, Fleet: m.s.Fleet(), Rev: m.s.Rev(), Settled: m.s.Settled(), Unavailable: out, Enabled: of,
+		Differing: m.s.Differing(), Instances: list, Agents: m.s.Agents(), Rollouts: m.s.Rollouts(5),
 		Nodes: nodes, Journal: m.trouble}, nil
 }
 
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -95,6 +95,9 @@
 	busy    bool // an answer is outstanding
 	wake    int64
 	turn    int // of the process: news of an earlier one is old
+	figures *control.Figures
+	open    int64
+	figured int64 // when they were said; 0: they have been passed on
 }
 
 // Open reads the journal in fs. Run starts the agent.
@@ -456,6 +459,9 @@
 			}
 			was := m.Pending
 			m.Looked(s.clock.Now(), st, healthy, err)
+			if err == nil && st.Figures != nil {
+				m.figures, m.open, m.figured = st.Figures, st.Open, s.clock.Now()
+			}
 			m.wake = 0
 			s.changed()
 			return s.settle(m, was)
--- a/internal/fleet/supervisor/sync.go
+++ b/internal/fleet/supervisor/sync.go
@@ -191,6 +191,7 @@
 		}
 		var now map[string]state.Report
 		var have uint64
+		var figures []api.Figures
 		if err := s.inLoop(ctx, func() error {
 			if s.reg != reg {
 				reg, told, seq = s.reg, nil, 0
@@ -199,6 +200,10 @@
 			now = map[string]state.Report{}
 			for name, m := range s.minds {
 				now[name] = m.Report(s.clock.Now())
+				if m.figured > 0 {
+					figures = append(figures, api.Figures{Name: name, Age: s.clock.Now() - m.figured, Open: m.open, Figures: m.figures})
+					m.figured = 0
+				}
 			}
 			return nil
 		}); err != nil {
@@ -208,7 +213,7 @@
 			continue
 		}
 		seq++
-		c := &api.ReportCall{Agent: s.opt.Name, Token: reg.Token, Epoch: reg.Epoch, Seq: seq, Have: have, Full: told == nil}
+		c := &api.ReportCall{Agent: s.opt.Name, Token: reg.Token, Epoch: reg.Epoch, Seq: seq, Have: have, Full: told == nil, Figures: figures}
 		for name, r := range now {
 			if old, ok := told[name]; told == nil || !ok || old != r {
 				c.Reports = append(c.Reports, r)
--- a/internal/incident/analyse.go
+++ b/internal/incident/analyse.go
@@ -388,6 +388,9 @@
 func (v *view) add(e Episode) {
 	e.Begin.Hi, e.End.Hi = max(e.Begin.Hi, e.Begin.Lo), max(e.End.Hi, e.End.Lo)
 	for _, b := range []Bound{e.Begin, e.End} {
+		if e.Kind == BrokerDead || e.Kind == BrokerDrain || e.Kind == Rollout {
+			break // its own records say it, whatever others know
+		}
 		for _, g := range v.gaps(b.Lo, b.Hi) {
 			if !slices.Contains(e.Doubt, g) && !strings.HasPrefix(g, e.Subject+": ") {
 				e.Doubt = append(e.Doubt, g)
@@ -724,10 +727,10 @@
 			x = &span{from: n.at}
 			byRev[n.subject] = x
 		}
-		x.to = n.at
-		if !slices.Contains(x.who, n.broker) {
-			x.who = append(x.who, n.broker)
+		if slices.Contains(x.who, n.broker) {
+			continue // told again: it has restarted, or nodes have changed
 		}
+		x.to, x.who = n.at, append(x.who, n.broker)
 	}
 	for _, rev := range slices.Sorted(maps.Keys(byRev)) {
 		x := byRev[rev]
--- a/internal/record/event.go
+++ b/internal/record/event.go
@@ -113,9 +113,17 @@
 
 // Summary counts all requests that ended in a span, whether they are recorded one by one or not.
 type Summary struct {
-	Span   int64 // microseconds up to At
-	Groups []Group
-	Nodes  []NodeCount
+	Span    int64 // microseconds up to At
+	Groups  []Group
+	Nodes   []NodeCount
+	Volumes []VolumeCount // those that came most often
+}
+
+// VolumeCount is the requests of a volume; Count may be too high by Error and is never too low.
+type VolumeCount struct {
+	Volume                string
+	Count, Error          uint64
+	Refused, Failed, Late uint64
 }
 
 // Group is the requests of one class and plan.
@@ -224,6 +232,13 @@
 			}
 			b = n.Latency.Append(b)
 		}
+		b = binary.AppendUvarint(b, uint64(len(o.Volumes)))
+		for _, v := range o.Volumes {
+			b = text(b, v.Volume)
+			for _, n := range []uint64{v.Count, v.Error, v.Refused, v.Failed, v.Late} {
+				b = binary.AppendUvarint(b, n)
+			}
+		}
 	case KindLost:
 		o := e.Lost
 		b = binary.AppendVarint(b, o.From-e.At)
@@ -376,6 +391,9 @@
 			d.sketch(&n.Latency)
 			o.Nodes = append(o.Nodes, n)
 		}
+		for range d.count(6) {
+			o.Volumes = append(o.Volumes, VolumeCount{d.s(), d.u(), d.u(), d.u(), d.u(), d.u()})
+		}
 		e.Summary = o
 	case KindLost:
 		from, to := d.i(), d.i()
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -41,7 +41,7 @@
 		g.Latency.AddN(n.Draw(t, "latency"), 3)
 		k := NodeCount{Node: "s-1"}
 		k.Outcomes[3], k.Outcomes[9] = 4, 5
-		e.Summary = &Summary{Span: 1000000, Groups: []Group{g}, Nodes: []NodeCount{k}}
+		e.Summary = &Summary{Span: 1000000, Groups: []Group{g}, Nodes: []NodeCount{k}, Volumes: []VolumeCount{{"v", 5, 1, 2, 3, 4}}}
 	case KindLost:
 		e.Lost = &Lost{From: e.At - 500, To: e.At - 20, Events: 7, Requests: 6, Why: "full"}
 	default:
@@ -103,7 +103,7 @@
 		for i := range got {
 			x, y := got[i], want[i]
 			if x.Kind == KindSummary { // capacities of sketches differ
-				if x.Summary.Groups[0].Latency.Quantile(0.5) != y.Summary.Groups[0].Latency.Quantile(0.5) || x.Summary.Nodes[0].Outcomes != y.Summary.Nodes[0].Outcomes {
+				if x.Summary.Groups[0].Latency.Quantile(0.5) != y.Summary.Groups[0].Latency.Quantile(0.5) || x.Summary.Nodes[0].Outcomes != y.Summary.Nodes[0].Outcomes || x.Summary.Volumes[0] != y.Summary.Volumes[0] {
 					t.Fatalf("%+v\n%+v", x.Summary, y.Summary)
 				}
 				continue
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -19,6 +19,9 @@
 	Beat   time.Duration // between two heartbeats; 0: 500 ms
 }
 
+// volumes is how many places there are for volumes that come often, and told is how many are told.
+const volumes, toldVolumes = 64, 16
+
 // tellAgain is how often the boot's particulars are repeated, in microseconds.
 const tellAgain = 5_000_000
 
@@ -59,6 +62,7 @@
 	reqs   uint64
 	groups map[[2]uint8]*Group
 	nodes  map[string]*NodeCount
+	top    *sketch.Top
 	_      [64]byte // a cache line of its own
 }
 
@@ -110,6 +114,10 @@
 
 func (s *shard) clear() {
 	s.groups, s.nodes = map[[2]uint8]*Group{}, map[string]*NodeCount{}
+	if s.top == nil {
+		s.top = sketch.NewTop(volumes)
+	}
+	s.top.Reset()
 	s.buf, s.base, s.events, s.reqs = s.buf[:0], 0, 0, 0
 }
 
@@ -178,10 +186,18 @@
 		s.groups[key] = g
 	}
 	g.Count[q.Answer]++
+	v := s.top.Add(q.Volume, 1)
+	switch q.Answer {
+	case Refused:
+		v.Extra[0]++
+	case Failed, Overdue:
+		v.Extra[1]++
+	}
 	if q.Answer == Served {
 		g.Latency.Add(q.Took)
 		if int(q.Class) < len(boot.Classes) && q.Took > boot.Classes[q.Class].Aim {
 			g.Late++
+			v.Extra[2]++
 		}
 	}
 	for i := range q.Tries {
@@ -223,7 +239,11 @@
 	beat, sum, told := began, began, began
 	var groups map[[2]uint8]*Group
 	var nodes map[string]*NodeCount
-	reset := func() { groups, nodes = map[[2]uint8]*Group{}, map[string]*NodeCount{} }
+	top := sketch.NewTop(volumes)
+	reset := func() {
+		groups, nodes = map[[2]uint8]*Group{}, map[string]*NodeCount{}
+		top.Reset()
+	}
 	reset()
 	for end := false; !end; {
 		select {
@@ -241,6 +261,7 @@
 				r.frame(s.buf, s.base, now)
 			}
 			merge(groups, nodes, s)
+			top.Merge(s.top)
 			s.clear()
 			s.mu.Unlock()
 		}
@@ -276,6 +297,9 @@
 			for _, n := range nodes {
 				o.Nodes = append(o.Nodes, *n)
 			}
+			for _, c := range top.List(toldVolumes) {
+				o.Volumes = append(o.Volumes, VolumeCount{c.Key, c.Count, c.Error, c.Extra[0], c.Extra[1], c.Extra[2]})
+			}
 			sum = now
 			reset()
 			r.lastMu.Lock()
--- a/internal/serve/recording.go
+++ b/internal/serve/recording.go
@@ -190,6 +190,10 @@
 			Served: g.Count[record.Served], Late: g.Late, Refused: g.Count[record.Refused], Failed: g.Count[record.Failed] + g.Count[record.Overdue],
 			P50: q.P50, P99: q.P99})
 	}
+	for _, v := range s.Volumes {
+		out.Volumes = append(out.Volumes, control.VolumeFigure{Volume: v.Volume, Count: v.Count, Error: v.Error, Refused: v.Refused,
+			Failed: v.Failed, Late: v.Late})
+	}
 	for i := range s.Nodes {
 		n := &s.Nodes[i]
 		q := record.Of(&n.Latency)
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -34,7 +34,9 @@
 	Objects int // and with an object front
 	Agents  int
 	Soak    time.Duration
-	Log     io.Writer // of manager and agents; nil: files in Dir
+	Log     io.Writer     // of manager and agents; nil: files in Dir
+	Aim     time.Duration // of all classes; 0: 20 s, so that no slow machine changes a verdict
+	Record  bool          // brokers record to Dir/records
 }
 
 // Stack is a running installation.
@@ -133,8 +135,12 @@
 // broker is the configuration that all brokers start from. Aims are long, so that no slow machine changes a verdict.
 func (s *Stack) broker(disc string) string {
 	type m = map[string]any
+	aim := s.opt.Aim
+	if aim == 0 {
+		aim = 20 * time.Second
+	}
 	class := func(name, repeat string) m {
-		return m{"name": name, "aim_ns": 20e9, "give_up_ns": 25e9, "importance": 1, "repeat": repeat}
+		return m{"name": name, "aim_ns": aim.Nanoseconds(), "give_up_ns": (5 * aim / 4).Nanoseconds(), "importance": 1, "repeat": repeat}
 	}
 	doc := m{
 		"discovery": disc, "known": s.Disc.List(-1), "limits": m{"cores": 1, "memory_mb": 96, "sockets": 512},
@@ -149,6 +155,9 @@
 			"default_plan": "basis"},
 		"tuning": m{"drain_serve": 300000, "drain_accept": 300000, "drain_answer": 2500000, "drain_total": 4000000},
 	}
+	if s.opt.Record {
+		doc["record"] = m{"dir": s.Records()}
+	}
 	b, err := json.MarshalIndent(doc, "", " ")
 	if err != nil {
 		panic(err) // plain values always marshal
@@ -176,6 +185,9 @@
 	return s.write("inventory.yaml", b.String())
 }
 
+// Records is where brokers record, if they do.
+func (s *Stack) Records() string { return filepath.Join(s.opt.Dir, "records") }
+
 // Manager starts the manager.
 func (s *Stack) Manager() error { return s.start("manager", "fleet", "manager", "-c", s.Config) }
 
--- a/internal/standin/traffic.go
+++ b/internal/standin/traffic.go
@@ -25,6 +25,7 @@
 	Write    string   // class that never runs twice
 	Plan     string
 	Shards   int
+	Volume   uint64        // of the block clients; 0: one each
 	Clients  int           // of each kind
 	Pause    time.Duration // between two requests of a client
 	Patience time.Duration // how long an answer is waited for
@@ -102,7 +103,10 @@
 }
 
 func (t *Traffic) blocks(ctx context.Context, k int) {
-	at := k
+	at, volume := k, t.Volume
+	if volume == 0 {
+		volume = uint64(k + 1)
+	}
 	var c *conn
 	defer func() {
 		if c != nil {
@@ -132,7 +136,7 @@
 		piece := fmt.Sprintf("%016x", 1<<40+t.seq.Load()*7919+int64(k))
 		want := "v-" + id
 		words = append(words, piece, id, fmt.Sprintf("c=%s,t=%s,d=%d,volume=%016x,units=1,shard=%d,hosts=%d", class, t.Plan,
-			t.Patience.Milliseconds()/2, k, shard, len(t.Blocks)))
+			t.Patience.Milliseconds()/2, volume, shard, len(t.Blocks)))
 		if class == t.Write {
 			words = append(words, want)
 		} else {
--- /dev/null
+++ b/tools/incidentplay/main.go
@@ -0,0 +1,94 @@
+// Command incidentplay plays a scripted incident over a whole installation on loopback, has the report made from the
+// brokers' records, and holds it against what really happened.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"poppyarch/internal/incident"
+	"poppyarch/internal/incident/check"
+	"poppyarch/internal/incident/collect"
+	"poppyarch/internal/incident/report"
+	"poppyarch/internal/stack"
+	"poppyarch/internal/standin"
+)
+
+func main() {
+	program := flag.String("program", "bin/poppyarch", "poppyarch")
+	out := flag.String("o", "incident.html", "the report")
+	unit := flag.Duration("unit", time.Second, "how long a part of the script is")
+	flag.Parse()
+	if err := run(*program, *out, *unit); err != nil {
+		fmt.Fprintln(os.Stderr, "incidentplay:", err)
+		os.Exit(1)
+	}
+}
+
+func run(program, out string, unit time.Duration) error {
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "incident")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s, err := stack.New(stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 3, Objects: 2, Agents: 1, Soak: 100 * time.Millisecond,
+		Aim: 400 * time.Millisecond, Record: true})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	if err := s.Start(ctx); err != nil {
+		return err
+	}
+	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
+		return err
+	}
+	if text, err := s.Run("apply", "--wait"); err != nil {
+		return fmt.Errorf("%w: %s", err, text)
+	}
+	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 4, Clients: 6,
+		Pause: 20 * time.Millisecond, Patience: 1200 * time.Millisecond}
+	start := time.Now()
+	truths, gaps, err := s.Play(ctx, load, unit, func(text string) { fmt.Printf("%6.2f s  %s\n", time.Since(start).Seconds(), text) })
+	if err != nil {
+		return err
+	}
+	fmt.Println(load)
+	if err := s.Close(); err != nil {
+		return err
+	}
+	streams, found, err := collect.Read(s.Records())
+	if err != nil {
+		return err
+	}
+	a := incident.Analyse(streams, incident.DefaultOptions())
+	report.Text(os.Stdout, a)
+	fmt.Printf("\n%+v\n", *found)
+	f, err := os.Create(out)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := report.HTML(f, a, "Scripted incident"); err != nil {
+		return err
+	}
+	wrong := check.Compare(a, truths, gaps, check.Options{Slack: 100_000, Gap: 700_000, Kinds: []incident.Kind{incident.BrokerDead, incident.NodeSilent,
+		incident.DiscoveryDown, incident.NodeDrain, incident.VolumeSurge}})
+	for _, x := range wrong {
+		fmt.Println("WRONG:", x)
+	}
+	if len(wrong) > 0 {
+		return fmt.Errorf("%d things are wrong", len(wrong))
+	}
+	fmt.Println("the report holds what was played")
+	return nil
+}
