An agent that registers anew is not taken for fenced, nor registers for a full disk

A report with the old token met a manager that had given this same agent a new one but whose answer had not come: the agent stood down before itself. And an assignment that could not be written made it register again and again. Now an older token counts for nothing while a registration is under way, and a full disk is waited for with the same registration.

--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -139,6 +139,9 @@
 	return s.j.Close()
 }
 
+// errJournal says that a record could not be written, and that nothing was done.
+var errJournal = errors.New("agent: journal not written")
+
 // put writes a record and, only then, takes it in.
 func (s *Supervisor) put(r *record) error {
 	b, err := json.Marshal(r)
@@ -150,7 +153,7 @@
 			s.log.Error("agent: journal not written, nothing is done", "record", r.Kind, "instance", r.Name, "err", err)
 		}
 		s.full = true
-		return err
+		return fmt.Errorf("%w: %v", errJournal, err)
 	}
 	s.full = false
 	return s.mem.apply(r)
--- a/internal/fleet/supervisor/sync.go
+++ b/internal/fleet/supervisor/sync.go
@@ -44,6 +44,10 @@
 
 // follow registers and then asks for assignments until a call fails.
 func (s *Supervisor) follow(ctx context.Context, pause *time.Duration) error {
+	// From here on an older token is no news: the manager may refuse it before this agent has heard of the new one.
+	if err := s.inLoop(ctx, func() error { s.reg = api.Registration{}; return nil }); err != nil {
+		return err
+	}
 	reg, err := s.manager.Register(ctx, s.opt.Name)
 	if err != nil {
 		return err
@@ -64,8 +68,13 @@
 	for {
 		a, err := s.manager.Assignments(ctx, &api.AssignCall{Agent: s.opt.Name, Token: reg.Token, Epoch: reg.Epoch, Have: have,
 			WaitMS: s.opt.Poll.Milliseconds()})
-		if errors.Is(err, api.ErrDown) { // the same manager may well be back in a moment
-			s.log.Warn("agent: manager not reached", "err", err)
+		if err == nil {
+			err = s.assign(ctx, reg, &a)
+		}
+		if errors.Is(err, api.ErrDown) || errors.Is(err, errJournal) { // the same may well go in a moment
+			if errors.Is(err, api.ErrDown) {
+				s.log.Warn("agent: manager not reached", "err", err)
+			}
 			t := time.NewTimer(*pause)
 			select {
 			case <-t.C:
@@ -80,9 +89,6 @@
 			return err
 		}
 		*pause = 100 * time.Millisecond
-		if err := s.assign(ctx, reg, &a); err != nil {
-			return err
-		}
 		if a.Version > 0 {
 			have = a.Version
 		}
