Membership: discovery, files and operators merged into one view, with a guard and damping

Need: the node list comes from several places that may contradict each other, come late, or lose a group by mistake.

internal/membership makes the view a function of the newest word of each source: facts from the first that knows the node, state from the strictest. Properties: order, repeats and losses do not matter; no drain is lost under guard and damping.

--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,270 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"poppyarch/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+const s1 = int64(1_000_000)
+
+func draw(t *rapid.T) []Entry {
+	var out []Entry
+	for k := range 6 {
+		if rapid.IntRange(0, 3).Draw(t, "there") == 0 {
+			continue
+		}
+		e := Entry{ID: fmt.Sprint("s", k), State: State(rapid.IntRange(0, 2).Draw(t, "state"))}
+		if rapid.IntRange(0, 4).Draw(t, "addr") > 0 {
+			e.Addr, e.Shard = fmt.Sprint("10.0.0.", rapid.IntRange(1, 3).Draw(t, "at")), rapid.IntRange(0, 2).Draw(t, "shard")
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// plain is a view without what depends on when things came.
+func plain(s *Set) (out []string) {
+	for _, m := range s.Members() {
+		out = append(out, fmt.Sprint(m.ID, m.State, m.Addr, m.Shard))
+	}
+	return out
+}
+
+// The order in which words arrive, their repetition and the loss of all but the newest do not matter.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Options{Limit: rapid.Bool().Draw(t, "limit"), Warm: s1, Forget: s1}
+		var words [sources][][]Entry
+		for k := range words {
+			for range rapid.IntRange(0, 4).Draw(t, "words") {
+				words[k] = append(words[k], draw(t))
+			}
+		}
+		play := func(name string) []string {
+			s := New(o, 1)
+			var next [sources]int
+			for now := int64(2); ; now++ {
+				var open []int
+				for k := range words {
+					if next[k] < len(words[k]) {
+						open = append(open, k)
+					}
+				}
+				if len(open) == 0 {
+					return plain(s)
+				}
+				k := rapid.SampledFrom(open).Draw(t, name)
+				v := next[k]
+				if v < len(words[k])-1 && rapid.IntRange(0, 2).Draw(t, name+" lost") == 0 {
+					next[k]++
+					continue
+				}
+				s.Tell(Source(k), int64(v), words[k][v], now)
+				if v > 0 && rapid.Bool().Draw(t, name+" late") { // an old one comes again
+					s.Tell(Source(k), int64(v-1), words[k][v-1], now)
+				}
+				next[k]++
+			}
+		}
+		if a, b := play("one"), play("other"); !slices.Equal(a, b) {
+			t.Fatalf("%v\n%v", a, b)
+		}
+	})
+}
+
+// With everything on: what is passed on adds up to the view; a node that any source has draining or out is never up,
+// however the guard and the damping stand; and a node is never shown warmer than it can be.
+func TestNoDrainIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := DefaultOptions()
+		o.GuardMin, o.Hold, o.HalfLife, o.Forget = rapid.IntRange(0, 3).Draw(t, "guard"), 20*s1, 3*s1, 30*s1
+		o.GuardDisc = rapid.Bool().Draw(t, "discovery too")
+		s := New(o, 1)
+		now := int64(1)
+		shown := map[string]Member{}
+		newest := [sources]map[string]Entry{{}, {}, {}}
+		version := int64(0)
+		absent := map[string]int64{}
+		t.Repeat(map[string]func(*rapid.T){
+			"tell": func(t *rapid.T) {
+				k := Source(rapid.IntRange(0, 2).Draw(t, "source"))
+				version++
+				list := draw(t)
+				newest[k] = map[string]Entry{}
+				for _, e := range list {
+					newest[k][e.ID] = e
+				}
+				take(shown, s.Tell(k, version, list, now))
+			},
+			"change": func(t *rapid.T) {
+				k := Source(rapid.IntRange(0, 2).Draw(t, "source"))
+				version++
+				list := draw(t)
+				var gone []string
+				if len(list) > 1 {
+					gone = []string{list[0].ID}
+					list = list[1:]
+				}
+				for _, e := range list {
+					newest[k][e.ID] = e
+				}
+				for _, id := range gone {
+					delete(newest[k], id)
+				}
+				take(shown, s.Change(k, version, list, gone, now))
+			},
+			"accept": func(t *rapid.T) { take(shown, s.Accept(Files, now)) },
+			"wait": func(t *rapid.T) {
+				now += rapid.SampledFrom([]int64{1000, s1, 5 * s1, 40 * s1}).Draw(t, "time")
+				take(shown, s.Tick(now))
+			},
+			"begun": func(t *rapid.T) { s.Begun() },
+			"": func(t *rapid.T) {
+				members := s.Members()
+				if len(members) != len(shown) {
+					t.Fatalf("%v\n%v", members, shown)
+				}
+				for _, m := range members {
+					if shown[m.ID] != m {
+						t.Fatalf("%+v is shown as %+v", m, shown[m.ID])
+					}
+					known := false
+					for k := range newest {
+						e, ok := newest[k][m.ID]
+						known = known || ok && e.Addr != ""
+						if ok && e.State > m.State {
+							t.Fatalf("%s is %s, though %s has it %s", m.ID, m.State, Source(k), e.State)
+						}
+					}
+					held, _ := s.Held(Files)
+					more, _ := s.Held(Discovery)
+					if !known && !slices.Contains(append(held, more...), m.ID) {
+						t.Fatalf("%s is used and nobody knows it", m.ID)
+					}
+					if since, ok := absent[m.ID]; ok && m.Started < since {
+						t.Fatalf("%s was out at %d and is back as if it had started at %d", m.ID, since, m.Started)
+					}
+					delete(absent, m.ID)
+				}
+				for k := range 6 {
+					id := fmt.Sprint("s", k)
+					if _, ok := shown[id]; !ok && s.nodes[id] != nil && s.nodes[id].gone == now {
+						absent[id] = now
+					}
+				}
+			},
+		})
+	})
+}
+
+func take(shown map[string]Member, list []Member) {
+	for _, m := range list {
+		if m.State == Out {
+			delete(shown, m.ID)
+		} else {
+			shown[m.ID] = m
+		}
+	}
+}
+
+func rows(n int, state State) (out []Entry) {
+	for k := range n {
+		out = append(out, Entry{ID: fmt.Sprint("s", k), Addr: fmt.Sprint("10.0.0.", k), Shard: k, State: state, Where: fmt.Sprint("nodes.csv:", k+2)})
+	}
+	return out
+}
+
+// A group deleted by mistake is held back, said so, and believed when an operator says so or the hold ends; a single row and
+// an express word are believed at once.
+func TestGuard(t *testing.T) {
+	s := New(DefaultOptions(), 1)
+	s.Tell(Files, 1, rows(20, Up), 2)
+	s.Begun()
+	if got := s.Tell(Files, 2, rows(19, Up), 3); len(got) != 1 || got[0].State != Out {
+		t.Fatalf("one row: %+v", got)
+	}
+	if got := s.Tell(Files, 3, rows(5, Up), 4); len(got) != 0 {
+		t.Fatalf("a lost group went through: %+v", got)
+	}
+	held, why := s.Held(Files)
+	if len(held) != 14 || why == "" || len(s.Members()) != 19 {
+		t.Fatalf("%v %q", held, why)
+	}
+	// What is held is still taken out by anybody's express word.
+	if got := s.Tell(Operators, 1, []Entry{{ID: "s10", State: Draining}}, 5); len(got) != 1 || got[0].State != Draining {
+		t.Fatalf("a drain of a held node: %+v", got)
+	}
+	if x := s.Explain("s10"); x.Phase != Drains || len(x.Facts) != 2 || !x.Facts[0].Held || len(x.Notes) == 0 {
+		t.Errorf("%+v", x)
+	}
+	if got := s.Accept(Files, 6); len(got) != 14 {
+		t.Fatalf("accepted: %+v", got)
+	}
+	s.Tell(Files, 4, rows(20, Up), 7)
+	s.Tell(Files, 5, rows(5, Up), 8)
+	if got := s.Tick(8 + DefaultOptions().Hold + s1); len(got) == 0 || len(s.Members()) != 5 {
+		t.Fatalf("after the hold: %+v, %d left", got, len(s.Members()))
+	}
+	// Express words for all of them at once are a decision.
+	s.Tell(Files, 6, rows(20, Up), 700*s1)
+	if got := s.Tell(Files, 7, rows(20, Out), 800*s1); len(got) != 20 {
+		t.Fatalf("all out: %d", len(got))
+	}
+}
+
+// A node that comes and goes stays out for a while, and then comes back by itself, cold each time.
+func TestFlaps(t *testing.T) {
+	o := DefaultOptions()
+	s := New(o, 1)
+	s.Tell(Discovery, 1, rows(1, Up), 2)
+	s.Begun()
+	now, v := int64(s1), int64(1)
+	flip := func(state State) []Member {
+		v++
+		now += s1
+		return s.Tell(Discovery, v, rows(1, state), now)
+	}
+	back := 0
+	for range 6 {
+		if got := flip(Out); len(got) > 0 && got[0].State != Out {
+			t.Fatal(got)
+		}
+		if got := flip(Up); len(got) > 0 {
+			back++
+			if got[0].Started != now {
+				t.Errorf("back at %d as if started at %d", now, got[0].Started)
+			}
+		}
+	}
+	if back < 2 || back > 4 || len(s.Members()) != 0 {
+		t.Fatalf("came back %d times, %d in use; %+v", back, len(s.Members()), s.Explain("s0"))
+	}
+	if x := s.Explain("s0"); x.Phase != IsOut || len(x.Notes) == 0 {
+		t.Errorf("%+v", x)
+	}
+	for range 400 {
+		next, ok := s.Next()
+		if !ok || len(s.Members()) == 1 {
+			break
+		}
+		now = max(next, now)
+		s.Tick(now)
+	}
+	if len(s.Members()) != 1 || now > 300*s1 {
+		t.Errorf("not back by %d: %+v", now, s.Explain("s0"))
+	}
+	if x := s.Explain("s0"); x.Phase != Cold {
+		t.Errorf("%+v", x)
+	}
+	s.Tick(now + 5*s1)
+	if x := s.Explain("s0"); x.Phase != Warming {
+		t.Errorf("%+v", x)
+	}
+}
