Node lists in CSV and YAML with places of faults; a watcher for files that are edited

Need: operators keep the list of storage nodes in CSV and YAML; one malformed row must not cost the rest, and a half-written file is no removal.

internal/nodefile reads groups, ranges, kinds, address sets (netipx), includes and folders, names each fault by file, line and column, settles contradictions by the first claim, and writes both forms back, or sets one value and leaves the rest as it is. internal/filewatch sees renames, writes in place, cut-offs, turned links, slow writers and vanished files, and says whether what was read stands still.

--- /dev/null
+++ b/internal/filewatch/filewatch_test.go
@@ -0,0 +1,91 @@
+package filewatch
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second
+
+// Every way to edit a file is seen, and what is read in the end is what was written, whether the system gives signs or the
+// watcher only looks. A writer that never rests is read now and then all the same, but never as settled half way.
+func TestEveryWayToEdit(t *testing.T) {
+	for _, signs := range []bool{true, false} {
+		dir := t.TempDir()
+		path := filepath.Join(dir, "list.csv")
+		put := func(name, text string) {
+			t.Helper()
+			if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+		put("list.csv", "0")
+		w, err := New(DefaultTimes())
+		if err != nil {
+			t.Log(err)
+		}
+		if !signs && w.fs != nil {
+			w.fs.Close()
+			w.fs = nil
+		}
+		w.Watch([]string{path})
+		ctx, cancel := context.WithTimeout(t.Context(), patience)
+		for n, edit := range []func(text string){
+			func(text string) { put("tmp", text); os.Rename(filepath.Join(dir, "tmp"), path) },
+			func(text string) { put("list.csv", text) },
+			func(text string) {
+				f, _ := os.OpenFile(path, os.O_WRONLY|os.O_TRUNC, 0)
+				f.Sync()
+				time.Sleep(20 * time.Millisecond)
+				f.WriteString(text)
+				f.Close()
+			},
+			func(text string) {
+				os.Remove(path)
+				put("real1", text)
+				os.Symlink("real1", path)
+			},
+			func(text string) {
+				put("real2", text)
+				os.Symlink("real2", filepath.Join(dir, "link"))
+				os.Rename(filepath.Join(dir, "link"), path)
+			},
+			func(text string) { put("real2", text) }, // behind the link
+			func(text string) {
+				f, _ := os.OpenFile(path, os.O_WRONLY|os.O_TRUNC, 0)
+				for i := range text {
+					f.WriteString(text[i : i+1])
+					time.Sleep(10 * time.Millisecond)
+				}
+				f.Close()
+			},
+			func(text string) {
+				os.Remove(path)
+				time.Sleep(30 * time.Millisecond)
+				put("list.csv", text)
+			},
+		} {
+			want := fmt.Sprintf("content %d of the list", n)
+			go edit(want)
+			settled, unsettled := "", false
+			for settled != want {
+				c, ok := w.Next(ctx, unsettled)
+				if !ok {
+					t.Fatalf("signs %v, edit %d: never settled on %q, last %q", signs, n, want, settled)
+				}
+				b, _ := os.ReadFile(path)
+				unsettled = !c.Settled || !w.Same()
+				if !unsettled {
+					settled = string(b)
+				}
+				w.Watch([]string{path})
+			}
+		}
+		cancel()
+		w.Close()
+	}
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -395,13 +395,17 @@
 		s.wheel.Set(&n.timer, s.now+s.o.Forget)
 		return n.member, true
 	}
-	// What has just come up is cold, whatever a file says of it; who knows a later start knows better.
-	m.Started = max(m.Started, n.up)
+	// What has just come up is cold, whatever a file says of it; discovery knows when a process started, and so is
+	// believed where it knows the node.
+	told := s.src[Discovery].entry(id) != nil
+	if !told {
+		m.Started = max(m.Started, n.up)
+	}
 	if n.shown && n.member == m {
 		return m, false
 	}
 	moved := n.shown && (n.member.Addr != m.Addr || n.member.Shard != m.Shard)
-	if moved && s.begun && m.Started < s.now && n.member.Started == m.Started {
+	if moved && s.begun && !told && m.Started < s.now && n.member.Started == m.Started {
 		n.up = s.now // another place under the same id is another process
 		m.Started = s.now
 	}
--- /dev/null
+++ b/internal/nodefile/csv.go
@@ -0,0 +1,176 @@
+package nodefile
+
+import (
+	"encoding/csv"
+	"errors"
+	"slices"
+	"strings"
+)
+
+// Memo remembers the cells of lines from one reading to the next, so that reading a long list of which one line has
+// changed splits one line. It is good for one file.
+type Memo struct {
+	header string
+	lines  map[string][]cell
+	next   map[string][]cell
+}
+
+// cell is a value with its column.
+type cell struct {
+	text string
+	col  int
+}
+
+// NewMemo returns an empty one.
+func NewMemo() *Memo { return &Memo{} }
+
+// ParseCSV reads a text with what is remembered of an earlier one.
+func ParseCSV(path, text string, m *Memo) *Doc {
+	b := &builder{doc: &Doc{Whole: true}, kinds: map[string]Kind{}, seen: map[string]bool{}, memo: m}
+	b.csv(path, text)
+	b.check()
+	return b.doc
+}
+
+// csv reads a header and a row for each node. A row is one line: so a quote without its end spoils no other.
+func (b *builder) csv(path, text string) {
+	var header []string
+	line := 0
+	for len(text) > 0 {
+		l, rest, _ := strings.Cut(text, "\n")
+		text = rest
+		line++
+		l = strings.TrimSuffix(l, "\r")
+		if t := strings.TrimSpace(l); t == "" || t[0] == '#' {
+			continue
+		}
+		at := Pos{path, line, 0}
+		cells, err := b.cells(l, header == nil)
+		if err != nil {
+			var pe *csv.ParseError
+			if errors.As(err, &pe) {
+				at.Col, err = pe.Column, pe.Err
+			}
+			b.fault(Fault{Pos: at, Text: err.Error()})
+			if header == nil {
+				b.doc.Whole = false
+				return
+			}
+			continue
+		}
+		if header == nil {
+			if header = b.header(at, cells); header == nil {
+				b.doc.Whole = false
+				return
+			}
+			if b.memo != nil && b.memo.header != l {
+				b.memo.header, b.memo.lines = l, nil
+			}
+			continue
+		}
+		if len(cells) > len(header) {
+			b.fault(Fault{Pos: Pos{path, line, cells[len(header)].col}, Text: "more cells than columns"})
+			continue
+		}
+		r := raw{vars: make(map[string]field, len(cells))}
+		for i, c := range cells {
+			f := field{c.text, Pos{path, line, c.col}}
+			switch {
+			case header[i] == "id":
+				r.id = f
+			case header[i] == "group":
+				if c.text != "" {
+					r.groups = append(r.groups, c.text)
+				}
+			case c.text != "":
+				r.vars[header[i]] = f
+			}
+		}
+		if r.id.pos.Line == 0 {
+			r.id.pos = at
+		}
+		b.raws = append(b.raws, r)
+	}
+	if header == nil {
+		b.fault(Fault{Pos: Pos{path, 1, 0}, Text: "no header: empty, or written half way"})
+		b.doc.Whole = false
+	}
+	if b.memo != nil {
+		b.memo.lines, b.memo.next = b.memo.next, nil
+	}
+}
+
+// header checks the names of the columns.
+func (b *builder) header(at Pos, cells []cell) []string {
+	var out []string
+	for _, c := range cells {
+		pos := Pos{at.File, at.Line, c.col}
+		name := c.text
+		if name == "name" || name == "node" || name == "uid" {
+			name = "id"
+		}
+		if name != "id" && name != "group" && !slices.Contains(known, name) {
+			b.fault(Fault{Pos: pos, Key: c.text, Text: "unknown column"})
+			return nil
+		}
+		if slices.Contains(out, name) {
+			b.fault(Fault{Pos: pos, Key: c.text, Text: "column given twice"})
+			return nil
+		}
+		out = append(out, name)
+	}
+	if !slices.Contains(out, "id") {
+		b.fault(Fault{Pos: at, Key: "id", Text: "column missing"})
+		return nil
+	}
+	return out
+}
+
+// cells splits a line.
+func (b *builder) cells(l string, header bool) ([]cell, error) {
+	if b.memo != nil && !header {
+		if b.memo.next == nil {
+			b.memo.next = make(map[string][]cell, len(b.memo.lines)+1)
+		}
+		if c, ok := b.memo.lines[l]; ok {
+			b.memo.next[l] = c
+			return c, nil
+		}
+	}
+	out, err := split(l)
+	if err == nil && b.memo != nil && !header {
+		b.memo.next[l] = out
+	}
+	return out, err
+}
+
+func split(l string) ([]cell, error) {
+	if !strings.ContainsRune(l, '"') { // as nearly all are
+		out := make([]cell, 0, 8)
+		for at := 0; ; {
+			k := strings.IndexByte(l[at:], ',')
+			part := l[at:]
+			if k >= 0 {
+				part = l[at : at+k]
+			}
+			t := strings.TrimLeft(part, " \t")
+			out = append(out, cell{strings.TrimRight(t, " \t"), at + len(part) - len(t) + 1})
+			if k < 0 {
+				return out, nil
+			}
+			at += k + 1
+		}
+	}
+	r := csv.NewReader(strings.NewReader(l))
+	r.TrimLeadingSpace = true
+	row, err := r.Read()
+	if err != nil {
+		return nil, err
+	}
+	out := make([]cell, len(row))
+	for i, c := range row {
+		_, col := r.FieldPos(i)
+		out[i] = cell{strings.TrimSpace(c), col}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/nodefile/nodefile_test.go
@@ -0,0 +1,275 @@
+package nodefile
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"poppyarch/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+const list = `# the room, as of the last count
+kinds:
+  node-full: {cores: 2, speed: 1}
+  node-slow: {cores: 2, speed: 0.6}
+all:
+  vars: {zone: olten-room}
+  children:
+    full:
+      nets: [10.1.0.0/24, 10.2.0.1-10.2.0.9]
+      vars: {kind: node-full}
+      hosts:
+        node-[01:04]: {addr: "10.1.0.[11:14]:6379", shard: "[0:3]"}
+        node-05: {addr: "10.2.0.5:6379", shard: 4, labels: {rack: a}} # spare
+    slow:
+      vars: {kind: node-slow}
+      hosts:
+        slow-1:
+          addr: 10.1.0.31:6379
+          shard: 5
+          state: draining
+`
+
+func ids(d *Doc) (out []string) {
+	for _, r := range d.Rows {
+		out = append(out, r.ID)
+	}
+	return out
+}
+
+func faults(d *Doc) (out []string) {
+	for _, f := range d.Faults {
+		out = append(out, f.Error())
+	}
+	return out
+}
+
+func TestYAML(t *testing.T) {
+	d := Parse("n.yaml", []byte(list))
+	if len(d.Faults) > 0 || !d.Whole || !slices.Equal(ids(d), []string{"node-01", "node-02", "node-03", "node-04", "node-05", "slow-1"}) {
+		t.Fatalf("%v %v", ids(d), faults(d))
+	}
+	r := d.Rows[2]
+	if r.Addr != "10.1.0.13:6379" || r.Shard != 2 || r.Zone != "olten-room" || r.Kind != "node-full" || r.Capacity != 2 || r.Pos != (Pos{"n.yaml", 12, 9}) {
+		t.Errorf("%+v", r)
+	}
+	if r := d.Rows[5]; r.State != "draining" || r.Capacity != 1.2 {
+		t.Errorf("%+v", r)
+	}
+	if r := d.Rows[4]; r.Labels["rack"] != "a" || !slices.Equal(r.Groups, []string{"full"}) {
+		t.Errorf("%+v", r)
+	}
+}
+
+// Every fault is named with its place, and the rest is used.
+func TestFaultsAreNamedAndTheRestIsUsed(t *testing.T) {
+	for _, x := range []struct {
+		file, text, want string
+		rows             int
+		whole            bool
+	}{
+		{"n.csv", "id,addr,shard\na,10.0.0.1:1,0\nb,10.0.0.2:x,1\nc,10.0.0.3:1,2\n", `n.csv:3:3: b.addr: "10.0.0.2:x" is not HOST:PORT`, 2, true},
+		{"n.csv", "id,addr,shard\na,10.0.0.1:1,0\n\"b,10.0.0.2:1,1\nc,10.0.0.3:1,2\n", `n.csv:3`, 2, true},
+		{"n.csv", "id,addr,shard\na,10.0.0.1:1,0\na ,10.0.0.2:1,1\n", "n.csv:3:1: a: given twice, first at n.csv:2:1", 1, true},
+		{"n.csv", "id,addr,shard\nnode-a,10.0.0.1:1,0\nNode-A,10.0.0.2:1,1\n", "n.csv:3:1: Node-A: differs from node-a in case only", 1, true},
+		{"n.csv", "id,addr,shard\na,10.0.0.1:1,0\nb,10.0.0.1:1,1\n", "n.csv:3:3: b.addr: 10.0.0.1:1 is a's", 1, true},
+		{"n.csv", "id,addr,shard\na,10.0.0.1:1,0\nb,10.0.0.2:1,0\n", "n.csv:3:14: b.shard: 0 is also a's: both are used", 2, true},
+		{"n.csv", "id,addr,colour\n", "n.csv:1:9: colour: unknown column", 0, false},
+		{"n.csv", "", "no header", 0, false},
+		{"n.csv", "id,addr\na,10.0.0.1:1,7\n", "n.csv:2:14: more cells than columns", 0, true},
+		{"n.csv", "id,addr,state\na,10.0.0.1:1,asleep\n", `n.csv:2:14: a.state: "asleep"`, 0, true},
+		{"n.yaml", "g:\n  hosts:\n    a: {addr: \"10.0.0.1:1\"}\n    b: {addr: \"10.0.0.2:1\", colour: red}\n", "n.yaml:4:29: g.hosts.b.colour: unknown key", 2, true},
+		{"n.yaml", "g:\n  nets: [10.0.0.0/8]\n  hosts:\n    a: {addr: \"11.0.0.1:1\"}\n    b: {addr: \"10.0.0.2:1\", shard: 1}\n", "n.yaml:4:15: a.addr: 11.0.0.1 is not among", 1, true},
+		{"n.yaml", "g:\n  hosts:\n    a-[1:3]: {addr: \"10.0.0.[1:2]:1\"}\n    b: {addr: \"10.0.0.9:1\"}\n", "2 of a range for 3 nodes", 1, true},
+		{"n.yaml", "g:\n  hosts:\n    a: {addr: \"10.0.0.1:1\"\n", "n.yaml:", 0, false},
+		{"n.yaml", "kinds: {full: {cores: 2}}\ng:\n  hosts:\n    a: {addr: \"10.0.0.1:1\", kind: big}\n", `a.kind: no kind "big"`, 0, true},
+		{"n.yaml", "g: {children: {h: {children: {g: {}}}}}\n", "contains itself", 0, false},
+	} {
+		d := Parse(x.file, []byte(x.text))
+		if all := strings.Join(faults(d), "\n"); !strings.Contains(all, x.want) || len(d.Rows) != x.rows || d.Whole != x.whole {
+			t.Errorf("%q: %d rows, whole %v, %s", x.text, len(d.Rows), d.Whole, all)
+		}
+	}
+}
+
+// One bad row among 10,000.
+func TestOneBadRow(t *testing.T) {
+	text := big(10_000)
+	lines := strings.SplitAfter(text, "\n")
+	lines[5000] = "n4999,nowhere,4999\n"
+	d := Parse("n.csv", []byte(strings.Join(lines, "")))
+	if len(d.Rows) != 9999 || len(d.Faults) != 1 || d.Faults[0].Pos != (Pos{"n.csv", 5001, 7}) || d.Faults[0].Node != "n4999" {
+		t.Errorf("%d rows, %v", len(d.Rows), faults(d))
+	}
+}
+
+func big(n int) string {
+	var b strings.Builder
+	b.WriteString("id,addr,shard,kind\n")
+	for k := range n {
+		fmt.Fprintf(&b, "n%d,10.%d.%d.%d:6379,%d,node-full\n", k, k>>16, k>>8&255, k&255, k)
+	}
+	return b.String()
+}
+
+// Folders and includes, circles and files that are not there.
+func TestIncludes(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	os.Mkdir(filepath.Join(dir, "more"), 0o700)
+	write("a.yaml", "include: [more, none.csv, a.yaml]\ng: {hosts: {a: {addr: \"10.0.0.1:1\"}}}\n")
+	write("more/b.csv", "id,addr,shard\nb,10.0.0.2:1,1\n")
+	write("more/c.yaml", "g: {hosts: {c: {addr: \"10.0.0.3:1\", shard: 2}, b: {addr: \"10.0.0.4:1\", shard: 3}}}\n")
+	f := Files{Read: os.ReadFile, List: func(d string) ([]string, error) {
+		names, err := filepath.Glob(filepath.Join(d, "*"))
+		if err != nil || len(names) == 0 {
+			return nil, os.ErrNotExist
+		}
+		return names, nil
+	}}
+	d := Load(filepath.Join(dir, "a.yaml"), f)
+	got := ids(d)
+	slices.Sort(got)
+	all := strings.Join(faults(d), "\n")
+	if !slices.Equal(got, []string{"a", "b", "c"}) || d.Whole || !strings.Contains(all, "included already") || !strings.Contains(all, "none.csv") || !strings.Contains(all, "given twice") {
+		t.Errorf("%v %v %s", got, d.Whole, all)
+	}
+}
+
+// What is written reads back the same, in either form.
+func TestWrittenListsReadBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var rows []Row
+		for k := range rapid.IntRange(1, 8).Draw(t, "rows") {
+			r := Row{ID: fmt.Sprint("n", k), Addr: fmt.Sprintf("10.0.0.%d:1", k), Shard: k, State: rapid.SampledFrom([]string{"up", "draining", "out"}).Draw(t, "state"),
+				Zone: rapid.SampledFrom([]string{"", "r1", "true", "07", "a: b"}).Draw(t, "zone"), Cores: float64(rapid.IntRange(0, 4).Draw(t, "cores"))}
+			if rapid.Bool().Draw(t, "labels") {
+				r.Labels = map[string]string{"k": "v", "a": ""}
+			}
+			if rapid.Bool().Draw(t, "group") {
+				r.Groups = []string{"g1"}
+			}
+			r.Capacity = r.Cores
+			rows = append(rows, r)
+		}
+		y, err := YAML(rows)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for file, text := range map[string][]byte{"n.csv": CSV(rows), "n.yaml": y} {
+			d := Parse(file, text)
+			if len(d.Faults) > 0 || len(d.Rows) != len(rows) {
+				t.Fatalf("%s: %v\n%s", file, faults(d), text)
+			}
+			by := map[string]Row{}
+			for _, r := range d.Rows {
+				r.Pos = Pos{}
+				if slices.Equal(r.Groups, []string{"nodes"}) {
+					r.Groups = nil
+				}
+				by[r.ID] = r
+			}
+			for _, r := range rows {
+				if !reflect.DeepEqual(by[r.ID], r) {
+					t.Fatalf("%s:\n%+v\n%+v\n%s", file, by[r.ID], r, text)
+				}
+			}
+			if diff := Diff(rows, d.Rows); len(diff) > 0 {
+				t.Fatalf("%+v", diff)
+			}
+		}
+	})
+}
+
+// One setting is changed; comments, order and every other line stay.
+func TestSetKeepsTheRest(t *testing.T) {
+	csv := "# racks\nid, addr ,state\n\na, 10.0.0.1:1, up\n  # b is old\nb,10.0.0.2:1\nc,10.0.0.3:1,out"
+	out, err := Set("n.csv", []byte(csv), "b", "state", "draining")
+	if want := strings.Replace(csv, "b,10.0.0.2:1\n", "b,10.0.0.2:1,draining\n", 1); err != nil || string(out) != want {
+		t.Errorf("%v\n%s", err, out)
+	}
+	out, err = Set("n.csv", []byte(csv), "c", "state", "up")
+	if want := strings.Replace(csv, "3:1,out", "3:1,up", 1); err != nil || string(out) != want {
+		t.Errorf("%v\n%s", err, out)
+	}
+	out, err = Set("n.yaml", []byte(list), "node-05", "state", "out")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, keep := range []string{"# the room, as of the last count", "# spare", "node-[01:04]", "nets: [10.1.0.0/24"} {
+		if !strings.Contains(string(out), keep) {
+			t.Errorf("%q is lost:\n%s", keep, out)
+		}
+	}
+	if diff := Diff(Parse("n.yaml", []byte(list)).Rows, Parse("n.yaml", out).Rows); len(diff) != 1 || diff[0].ID != "node-05" || !slices.Equal(diff[0].Keys, []string{"state"}) {
+		t.Errorf("%+v", diff)
+	}
+	for _, x := range [][3]string{{"a", "colour", "red"}, {"z", "state", "up"}, {"a", "state", "asleep"}} {
+		if _, err := Set("n.csv", []byte(csv), x[0], x[1], x[2]); err == nil {
+			t.Errorf("%v was taken", x)
+		}
+	}
+	if _, err := Set("n.yaml", []byte(list), "node-02", "state", "out"); err == nil {
+		t.Error("a node of a range was set")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(true, "id,addr,shard\na,10.0.0.1:1,0\n")
+	f.Add(true, "id,\"addr\"\n\"a\"\"b\",x")
+	f.Add(false, list)
+	f.Add(false, "g: &a {hosts: {x: *a}}\n")
+	f.Fuzz(func(t *testing.T, csv bool, text string) {
+		file := "n.yaml"
+		if csv {
+			file = "n.csv"
+		}
+		d := Parse(file, []byte(text))
+		seen := map[string]bool{}
+		for _, r := range d.Rows {
+			if low := strings.ToLower(r.ID); seen[low] || !validID(r.ID) {
+				t.Fatalf("%q is there twice or is no id", r.ID)
+			} else {
+				seen[low] = true
+			}
+		}
+		if csv {
+			m := NewMemo()
+			ParseCSV(file, text, m)
+			if again := ParseCSV(file, text, m); !reflect.DeepEqual(again.Rows, d.Rows) || !reflect.DeepEqual(again.Faults, d.Faults) {
+				t.Fatalf("what is remembered reads otherwise")
+			}
+		}
+	})
+}
+
+// A long list of which one line has changed: with and without what is remembered of the last reading.
+func BenchmarkReread(b *testing.B) {
+	for _, n := range []int{10, 1000, 100_000} {
+		one := big(n)
+		two := strings.Replace(one, "n7,10.0.0.7:6379,7", "n7,10.0.0.7:6380,7", 1)
+		b.Run(fmt.Sprintf("remembered/%d", n), func(b *testing.B) {
+			m := NewMemo()
+			for k := 0; b.Loop(); k++ {
+				ParseCSV("n.csv", []string{one, two}[k%2], m)
+			}
+		})
+		b.Run(fmt.Sprintf("anew/%d", n), func(b *testing.B) {
+			for k := 0; b.Loop(); k++ {
+				ParseCSV("n.csv", []string{one, two}[k%2], nil)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/nodefile/yaml.go
@@ -0,0 +1,342 @@
+package nodefile
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"sort"
+	"strconv"
+
+	"go.yaml.in/yaml/v3"
+	"go4.org/netipx"
+)
+
+// group is a group of a YAML list, joined from all the places it stands at.
+type group struct {
+	name     string
+	depth    int
+	vars     map[string]field
+	children []string
+	nets     *netipx.IPSet
+}
+
+// member is a node with the groups it stands in.
+type member struct {
+	id     field
+	own    map[string]field
+	groups []string
+	order  int
+}
+
+// tree is one YAML file while it is read.
+type tree struct {
+	b      *builder
+	path   string
+	groups map[string]*group
+	nodes  map[string]*member
+}
+
+// yaml reads groups, hosts, vars and children; kinds, include and nets are this program's own. What is faulty is named and
+// left out: a row, a setting, or a group's setting.
+func (b *builder) yaml(path string, text []byte) {
+	var doc yaml.Node
+	if err := yaml.Unmarshal(text, &doc); err != nil {
+		f := Fault{Pos: Pos{path, 1, 0}, Text: err.Error()}
+		if m := regexp.MustCompile(`line (\d+)`).FindStringSubmatch(err.Error()); m != nil {
+			f.Pos.Line, _ = strconv.Atoi(m[1])
+		}
+		b.fault(f)
+		b.doc.Whole = false
+		return
+	}
+	if len(doc.Content) == 0 {
+		b.fault(Fault{Pos: Pos{path, 1, 0}, Text: "empty, or written half way"})
+		b.doc.Whole = false
+		return
+	}
+	t := &tree{b: b, path: path, groups: map[string]*group{}, nodes: map[string]*member{}}
+	t.each(doc.Content[0], "", func(key string, k, v *yaml.Node) {
+		switch key {
+		case "kinds":
+			t.each(v, key, func(kind string, k, v *yaml.Node) { t.kind(kind, v) })
+		case "include":
+			t.include(v)
+		default:
+			t.group(key, k, v)
+		}
+	})
+	t.resolve()
+}
+
+func (t *tree) pos(n *yaml.Node) Pos { return Pos{t.path, n.Line, n.Column} }
+
+func (t *tree) fault(n *yaml.Node, key, format string, args ...any) {
+	t.b.fault(Fault{Pos: t.pos(n), Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+func resolved(n *yaml.Node) *yaml.Node {
+	if n.Kind == yaml.AliasNode {
+		return n.Alias
+	}
+	return n
+}
+
+// each walks a mapping.
+func (t *tree) each(n *yaml.Node, at string, f func(key string, k, v *yaml.Node)) {
+	n = resolved(n)
+	if n.Kind == yaml.ScalarNode && n.Tag == "!!null" {
+		return
+	}
+	if n.Kind != yaml.MappingNode {
+		t.fault(n, at, "must be a mapping")
+		return
+	}
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		k, v := n.Content[i], n.Content[i+1]
+		if k.Kind != yaml.ScalarNode || k.Tag == "!!merge" {
+			t.fault(k, at, "keys must be plain names")
+			continue
+		}
+		if seen[k.Value] {
+			t.fault(k, at+"."+k.Value, "key given twice: the first counts")
+			continue
+		}
+		seen[k.Value] = true
+		f(k.Value, k, v)
+	}
+}
+
+func (t *tree) kind(name string, n *yaml.Node) {
+	var kind Kind
+	t.each(n, "kinds."+name, func(key string, k, v *yaml.Node) {
+		x, err := strconv.ParseFloat(v.Value, 64)
+		switch {
+		case key != "cores" && key != "speed":
+			t.fault(k, "kinds."+name+"."+key, "unknown key; a kind has cores and speed")
+		case err != nil || !(x > 0):
+			t.fault(v, "kinds."+name+"."+key, "%q is not a number above 0", v.Value)
+		case key == "cores":
+			kind.Cores = x
+		default:
+			kind.Speed = x
+		}
+	})
+	t.b.kinds[name] = kind
+}
+
+func (t *tree) include(n *yaml.Node) {
+	n = resolved(n)
+	list := []*yaml.Node{n}
+	if n.Kind == yaml.SequenceNode {
+		list = n.Content
+	}
+	for _, x := range list {
+		if x.Kind != yaml.ScalarNode || x.Value == "" {
+			t.fault(x, "include", "must be a path, or a list of paths")
+			continue
+		}
+		path := x.Value
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(filepath.Dir(t.path), path)
+		}
+		t.b.load(path, t.pos(x))
+	}
+}
+
+func (t *tree) group(name string, k, n *yaml.Node) {
+	g := t.groups[name]
+	if g == nil {
+		g = &group{name: name, vars: map[string]field{}}
+		t.groups[name] = g
+	}
+	t.each(n, name, func(key string, k, v *yaml.Node) {
+		at := name + "." + key
+		switch key {
+		case "vars":
+			t.vars(v, at, g.vars)
+		case "children":
+			t.each(v, at, func(child string, k, v *yaml.Node) {
+				g.children = append(g.children, child)
+				t.group(child, k, v)
+			})
+		case "hosts":
+			t.each(v, at, func(host string, k, v *yaml.Node) { t.hosts(name, host, at+"."+host, k, v) })
+		case "nets":
+			t.nets(g, v, at)
+		default:
+			t.fault(k, at, "unknown key; a group has hosts, vars, children and nets")
+		}
+	})
+}
+
+// nets are the addresses that a group's nodes may have: prefixes, ranges and single ones.
+func (t *tree) nets(g *group, n *yaml.Node, at string) {
+	var set netipx.IPSetBuilder
+	n = resolved(n)
+	list := []*yaml.Node{n}
+	if n.Kind == yaml.SequenceNode {
+		list = n.Content
+	}
+	ok := false
+	for _, x := range list {
+		if p, err := netip.ParsePrefix(x.Value); err == nil {
+			set.AddPrefix(p)
+		} else if r, err := netipx.ParseIPRange(x.Value); err == nil {
+			set.AddRange(r)
+		} else if a, err := netip.ParseAddr(x.Value); err == nil {
+			set.Add(a)
+		} else {
+			t.fault(x, at, "%q is no prefix, range or address", x.Value)
+			continue
+		}
+		ok = true
+	}
+	if s, err := set.IPSet(); err == nil && ok {
+		g.nets = s
+	}
+}
+
+// hosts reads one host, or a range of them.
+func (t *tree) hosts(in, name, at string, k, n *yaml.Node) {
+	ids, err := expand(name)
+	if err != nil {
+		t.fault(k, at, "%v", err)
+		return
+	}
+	own := map[string]field{}
+	t.vars(n, at, own)
+	for i, id := range ids {
+		m := t.nodes[id]
+		if m == nil {
+			m = &member{id: field{id, t.pos(k)}, own: map[string]field{}, order: len(t.nodes)}
+			t.nodes[id] = m
+		}
+		m.groups = append(m.groups, in)
+		for key, f := range own {
+			f, err := spread(f, i, len(ids))
+			if err != nil {
+				if i == 0 {
+					t.b.fault(Fault{Pos: f.pos, Key: at + "." + key, Text: err.Error()})
+				}
+				f.text = "" // stays unset; the fault is told once
+			}
+			if old, twice := m.own[key]; twice && old.text != f.text {
+				t.b.fault(Fault{Pos: f.pos, Key: id + "." + key, Text: "set twice, first at " + old.pos.String() + ": the first counts", Node: id, Warn: true})
+				continue
+			}
+			m.own[key] = f
+		}
+	}
+}
+
+func (t *tree) vars(n *yaml.Node, at string, to map[string]field) {
+	t.each(n, at, func(key string, k, v *yaml.Node) {
+		v = resolved(v)
+		if !slices.Contains(known, key) {
+			t.fault(k, at+"."+key, "unknown key")
+			return
+		}
+		text := v.Value
+		if key == "labels" && v.Kind == yaml.MappingNode {
+			text = ""
+			for i := 0; i+1 < len(v.Content); i += 2 {
+				if i > 0 {
+					text += ";"
+				}
+				text += v.Content[i].Value + "=" + v.Content[i+1].Value
+			}
+		} else if v.Kind != yaml.ScalarNode {
+			t.fault(v, at+"."+key, "must be a single value")
+			return
+		}
+		to[key] = field{text, t.pos(v)}
+	})
+}
+
+// resolve works out every node's settings: from the outermost group to the innermost, groups of one depth in the order of
+// their names, the node's own last; the later wins.
+func (t *tree) resolve() {
+	parents := map[string][]string{}
+	for _, g := range t.groups {
+		for _, c := range g.children {
+			parents[c] = append(parents[c], g.name)
+		}
+	}
+	for _, g := range t.groups {
+		if !t.deepen(g, 1, map[string]bool{}) {
+			return
+		}
+	}
+	list := make([]*member, 0, len(t.nodes))
+	for _, m := range t.nodes {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].order < list[b].order })
+	for _, m := range list {
+		in := map[string]bool{}
+		var climb func(string)
+		climb = func(name string) {
+			if !in[name] {
+				in[name] = true
+				for _, p := range parents[name] {
+					climb(p)
+				}
+			}
+		}
+		for _, g := range m.groups {
+			climb(g)
+		}
+		if t.groups["all"] != nil {
+			in["all"] = true
+		}
+		var order []*group
+		for name := range in {
+			order = append(order, t.groups[name])
+		}
+		sort.Slice(order, func(a, b int) bool {
+			if (order[a].name == "all") != (order[b].name == "all") {
+				return order[a].name == "all"
+			}
+			if order[a].depth != order[b].depth {
+				return order[a].depth < order[b].depth
+			}
+			return order[a].name < order[b].name
+		})
+		r := raw{id: m.id, vars: map[string]field{}}
+		for _, g := range order {
+			if g.name != "all" {
+				r.groups = append(r.groups, g.name)
+			}
+			for k, v := range g.vars {
+				r.vars[k] = v
+			}
+			if g.nets != nil { // the innermost group's word
+				r.nets, r.netsOf = g.nets, g.name
+			}
+		}
+		for k, v := range m.own {
+			r.vars[k] = v
+		}
+		t.b.raws = append(t.b.raws, r)
+	}
+}
+
+func (t *tree) deepen(g *group, depth int, above map[string]bool) bool {
+	if above[g.name] {
+		t.b.fault(Fault{Pos: Pos{t.path, 1, 0}, Key: g.name, Text: "the group contains itself"})
+		t.b.doc.Whole = false
+		return false
+	}
+	above[g.name] = true
+	defer delete(above, g.name)
+	g.depth = max(g.depth, depth)
+	for _, c := range g.children {
+		if !t.deepen(t.groups[c], depth+1, above) {
+			return false
+		}
+	}
+	return true
+}
