Node lists under a running broker: membership in place of the overlay, subsets, commands

Need: the broker is to read the list of storage nodes as the configuration tools keep it, and the 500 ms rule holds for it too.

The overlay of operators' changes is gone: membership does its work.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 	"poppyarch/internal/control"
 	"poppyarch/internal/discovery"
 	"poppyarch/internal/limits"
+	"poppyarch/internal/membership"
 	"poppyarch/internal/settings"
 	"poppyarch/policy"
 )
@@ -35,6 +36,7 @@
 	Object    *Object  // nil: the object front is off
 	Control   *Control // nil: there is no control endpoint
 	Record    *Record  // nil: nothing is recorded
+	Nodes     *Nodes   // nil: the node list is discovery's alone
 	LogLevel  string
 
 	fileDiscovery string            // as the file has it, whatever LB_DISCOVERY says
@@ -69,6 +71,63 @@
 	BeatMS  int64   `json:"beat_ms"`       // default 500
 }
 
+// Nodes sets up lists of storage nodes in files, and how they are merged with discovery's.
+type Nodes struct {
+	Files    []string `json:"files"`     // .csv, .yaml, .yml, or folders of such
+	Mode     string   `json:"mode"`      // "union" (default): files add nodes and restrict them; "limit": only what a file has is used
+	Guard    *float64 `json:"guard"`     // omissions of more than this share at once are held back; 0: none; default 0.2
+	GuardMin int      `json:"guard_min"` // but never fewer than so many; default 3
+	HoldMS   int64    `json:"hold_ms"`   // for so long; default 600000
+	Subset   int      `json:"subset"`    // of a shard's nodes, only so many are used by this broker; 0: all
+	Suppress *float64 `json:"suppress"`  // penalty above which a node that comes back stays out; 0: never; default 3
+}
+
+// Options are the membership's.
+func (n *Nodes) Options(warm time.Duration) membership.Options {
+	o := membership.DefaultOptions()
+	if warm > 0 {
+		o.Warm = warm.Microseconds()
+	}
+	if n == nil { // operators' commands only: what they say is meant, and discovery is believed as ever
+		o.Suppress = 0
+		return o
+	}
+	o.Limit = n.Mode == "limit"
+	if n.Guard != nil {
+		o.Guard = *n.Guard
+	}
+	if n.GuardMin > 0 {
+		o.GuardMin = n.GuardMin
+	}
+	if n.HoldMS > 0 {
+		o.Hold = n.HoldMS * 1000
+	}
+	if n.Suppress != nil {
+		o.Suppress = *n.Suppress
+	}
+	return o
+}
+
+func (n *Nodes) check() error {
+	switch {
+	case len(n.Files) == 0:
+		return errors.New("files: missing")
+	case n.Mode != "" && n.Mode != "union" && n.Mode != "limit":
+		return fmt.Errorf("mode: %q is neither union nor limit", n.Mode)
+	case n.Guard != nil && !(*n.Guard >= 0 && *n.Guard <= 1):
+		return fmt.Errorf("guard: %v is not 0 to 1", *n.Guard)
+	case n.GuardMin < 0:
+		return fmt.Errorf("guard_min: %d is negative", n.GuardMin)
+	case n.Subset < 0:
+		return fmt.Errorf("subset: %d is negative", n.Subset)
+	case n.HoldMS < 0:
+		return fmt.Errorf("hold_ms: %d is negative", n.HoldMS)
+	case n.Suppress != nil && !(*n.Suppress >= 0):
+		return fmt.Errorf("suppress: %v is negative", *n.Suppress)
+	}
+	return nil
+}
+
 func (r *Record) check() error {
 	if r.Sample == 0 {
 		r.Sample = 1
@@ -117,6 +176,7 @@
 	Object   *Object         `json:"object"`
 	Control  *Control        `json:"control"`
 	Record   *Record         `json:"record"`
+	Nodes    *Nodes          `json:"nodes"`
 	Log      string          `json:"log"`
 	Tuning   json.RawMessage `json:"tuning"` // single figures of limits.Limits, in its words
 }
@@ -223,7 +283,7 @@
 			*to = v
 		}
 	}
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object, Control: in.Control, Record: in.Record,
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Known: discovery.List{Rev: discovery.NoList}, Object: in.Object, Control: in.Control, Record: in.Record, Nodes: in.Nodes,
 		LogLevel: in.Log, fileDiscovery: fileDiscovery}
 	var err error
 	if c.keys, err = keys(text); err != nil {
@@ -297,6 +357,11 @@
 			return nil, fmt.Errorf("control.listen: %w", err)
 		}
 	}
+	if c.Nodes != nil {
+		if err := c.Nodes.check(); err != nil {
+			return nil, fmt.Errorf("nodes.%w", err)
+		}
+	}
 	if c.Record != nil {
 		if err := c.Record.check(); err != nil {
 			return nil, fmt.Errorf("record.%w", err)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"os"
 	"strings"
 	"sync"
@@ -101,6 +102,8 @@
 	hook     func(string) // tests stop the process at its points
 	observe  func(*Change, *Outcome)
 	records  func() []byte
+	explain  func(id string) any
+	accept   func() int
 }
 
 // NewServer begins a boot. started is the digest that the configuration names.
@@ -114,6 +117,11 @@
 // Observe has f called with every change and what became of it.
 func (s *Server) Observe(f func(*Change, *Outcome)) { s.observe = f }
 
+// Nodes has GET /v1/nodes tell what explain returns (of one node with ?id=), and POST /v1/nodes/accept call accept.
+func (s *Server) Nodes(explain func(id string) any, accept func() int) {
+	s.explain, s.accept = explain, accept
+}
+
 // Records has GET /v1/records give what f returns: the broker's records where it keeps them in memory.
 func (s *Server) Records(f func() []byte) { s.records = f }
 
@@ -188,6 +196,20 @@
 		json.NewEncoder(w).Encode(v)
 	}
 	mux.HandleFunc("GET /v1/state", func(w http.ResponseWriter, r *http.Request) { reply(w, http.StatusOK, s.State()) })
+	mux.HandleFunc("GET /v1/nodes", func(w http.ResponseWriter, r *http.Request) {
+		if s.explain == nil {
+			http.NotFound(w, r)
+			return
+		}
+		reply(w, http.StatusOK, s.explain(r.URL.Query().Get("id")))
+	})
+	mux.HandleFunc("POST /v1/nodes/accept", func(w http.ResponseWriter, r *http.Request) {
+		if s.accept == nil {
+			http.NotFound(w, r)
+			return
+		}
+		reply(w, http.StatusOK, map[string]int{"changed": s.accept()})
+	})
 	mux.HandleFunc("GET /v1/records", func(w http.ResponseWriter, r *http.Request) {
 		if s.records == nil {
 			http.NotFound(w, r)
@@ -308,6 +330,22 @@
 	return &o, err
 }
 
+// Nodes asks where each fact about nodes comes from; id empty: about all.
+func (c *Client) Nodes(ctx context.Context, id string, out any) error {
+	path := "nodes"
+	if id != "" {
+		path += "?id=" + url.QueryEscape(id)
+	}
+	return c.call(ctx, http.MethodGet, path, nil, out)
+}
+
+// Accept has the broker believe the omissions that its guard holds back.
+func (c *Client) Accept(ctx context.Context) (changed int, err error) {
+	var out struct{ Changed int }
+	err = c.call(ctx, http.MethodPost, "nodes/accept", nil, &out)
+	return out.Changed, err
+}
+
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
 	var body io.Reader
 	if in != nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -433,6 +433,14 @@
 	return out
 }
 
+// Get returns a node in use.
+func (s *Set) Get(id string) (Member, bool) {
+	if n := s.nodes[id]; n != nil && n.shown {
+		return n.member, true
+	}
+	return Member{}, false
+}
+
 // Epoch counts the changes of the view.
 func (s *Set) Epoch() uint64 { return s.epoch }
 
--- a/internal/serve/live.go
+++ b/internal/serve/live.go
@@ -9,12 +9,14 @@
 	"strconv"
 	"sync"
 
+	"poppyarch/internal/clock"
 	"poppyarch/internal/config"
 	"poppyarch/internal/control"
 	"poppyarch/internal/core"
 	"poppyarch/internal/discovery"
 	"poppyarch/internal/fleet/spec"
-	"poppyarch/internal/overlay"
+	"poppyarch/internal/membership"
+	"poppyarch/internal/routing"
 	"poppyarch/policy"
 )
 
@@ -30,21 +32,30 @@
 	rec    *recording
 
 	mu   sync.Mutex
-	file spec.Live // as the configuration has it
-	over spec.Live // as the control endpoint has it
-	all  *overlay.Overlay
+	file spec.Live       // as the configuration has it
+	over spec.Live       // as the control endpoint has it
+	all  *membership.Set // nil: discovery's word goes through as it is
+	part *routing.Subset // nil: all nodes are used
+	said [3]int64        // words of each source so far: their versions here
+	zone []string
+	log  *slog.Logger
+	time *clock.Clock
 }
 
-func newLive(cfg *config.Config, table *core.Nodes, f *policy.Facade, w *discovery.Client, g *core.Gate, r *Reload) *live {
-	l := &live{table: table, facade: f, watch: w, gate: g, level: &slog.LevelVar{},
+func newLive(cfg *config.Config, table *core.Nodes, f *policy.Facade, w *discovery.Client, g *core.Gate, r *Reload, c *clock.Clock,
+	log *slog.Logger) *live {
+	l := &live{zone: cfg.Zones, log: log, time: c, table: table, facade: f, watch: w, gate: g, level: &slog.LevelVar{},
 		file: spec.Live{Log: cfg.LogLevel, Discovery: cfg.Discovery, MaxOpen: cfg.Limits.MaxOpen}}
 	if r != nil {
 		l.level, l.hook = r.Level, r.Hook
 	}
-	if cfg.Control != nil {
-		l.all = overlay.New(cfg.Zones)
+	if cfg.Control != nil || cfg.Nodes != nil {
+		l.all = membership.New(cfg.Nodes.Options(cfg.Policy.Warm), c.Now())
+		if cfg.Nodes != nil && cfg.Nodes.Subset > 0 {
+			l.part = routing.NewSubset(cfg.Name, cfg.Nodes.Subset)
+		}
 	}
-	if cfg.Control != nil || cfg.Record != nil {
+	if l.all != nil || cfg.Record != nil {
 		w.Deliver(l.list)
 	}
 	return l
@@ -56,7 +67,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.all != nil {
-		nodes = l.all.Discovery(nodes, full)
+		// Told on even where nothing has changed: the module counts from discovery's last word.
+		nodes, full = l.merged(l.fromDiscovery(nodes, full)), false
 	}
 	l.pass(nodes, full)
 }
@@ -143,7 +155,7 @@
 			did = append(did, e)
 		}
 	}
-	changed := l.all.Operators(nodes)
+	changed := l.merged(l.fromOperators(nodes))
 	for _, n := range changed {
 		old, ok := l.table.Get(n.ID)
 		did = append(did, control.Effect{What: "node " + n.ID, From: nodeState(old, ok), To: nodeState(n, n.State != policy.Gone)})
@@ -192,6 +204,7 @@
 	s := control.NewServer(cfg.Name, id, cfg.Control.Started, l, log)
 	s.SetHook(l.hook)
 	l.rec.control(s)
+	s.Nodes(l.explain, l.accept)
 	log.Info("control: listening", "addr", cfg.Control.Listen)
 	behind.Go(func() {
 		if err := s.Serve(ctx, ln); err != nil {
--- /dev/null
+++ b/internal/serve/nodes.go
@@ -0,0 +1,368 @@
+package serve
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/config"
+	"poppyarch/internal/core"
+	"poppyarch/internal/filewatch"
+	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/membership"
+	"poppyarch/internal/nodefile"
+	"poppyarch/internal/routing"
+	"poppyarch/policy"
+)
+
+// begin takes in what is known at the start: the list that the broker last had, and the files.
+func (l *live) begin(cfg *config.Config, known []core.Node) (*nodeFiles, error) {
+	if l.all == nil {
+		l.list(known, true)
+		return nil, nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fromDiscovery(known, true)
+	var files *nodeFiles
+	if cfg.Nodes != nil {
+		files = &nodeFiles{l: l, paths: cfg.Nodes.Files, log: l.log, good: map[string]membership.Entry{}}
+		if !files.read(true) && cfg.Nodes.Mode == "limit" {
+			l.log.Error("nodes: no list can be read, and only what a list has is used", "files", cfg.Nodes.Files)
+		}
+	}
+	l.all.Begun()
+	l.pass(l.merged(l.all.Members()), true)
+	return files, nil
+}
+
+// fromDiscovery hands discovery's word to the membership. The caller holds mu.
+func (l *live) fromDiscovery(nodes []core.Node, full bool) []membership.Member {
+	l.said[membership.Discovery]++
+	v, now := l.said[membership.Discovery], l.time.Now()
+	entries := make([]membership.Entry, 0, len(nodes))
+	var gone []string
+	for _, n := range nodes {
+		if n.State == policy.Gone {
+			gone = append(gone, n.ID)
+			continue
+		}
+		e := membership.Entry{ID: n.ID, Addr: n.Addr, Objects: n.Objects, Shard: n.Shard, Zone: n.Zone, Started: n.Started}
+		if n.State == policy.Draining {
+			e.State = membership.Draining
+		}
+		entries = append(entries, e)
+	}
+	if full {
+		return l.all.Tell(membership.Discovery, v, entries, now)
+	}
+	return l.all.Change(membership.Discovery, v, entries, gone, now)
+}
+
+// fromOperators hands the operators' word to it. The caller holds mu.
+func (l *live) fromOperators(list []spec.Node) []membership.Member {
+	l.said[membership.Operators]++
+	entries := make([]membership.Entry, 0, len(list))
+	for _, n := range list {
+		e := membership.Entry{ID: n.ID, Addr: n.Addr, Objects: n.Objects, Shard: n.Shard, Zone: l.zoneOf(n.Zone), Where: "fleet nodes"}
+		switch n.State {
+		case spec.NodeDrain:
+			e.State = membership.Draining
+		case spec.NodeOut:
+			e.State = membership.Out
+		}
+		entries = append(entries, e)
+	}
+	return l.all.Tell(membership.Operators, l.said[membership.Operators], entries, l.time.Now())
+}
+
+func (l *live) zoneOf(name string) int { return max(slices.Index(l.zone, name), 0) }
+
+// merged turns the membership's changes into the core's form. With a subset, nodes outside it are not told, and a change of
+// one node may bring others into it.
+func (l *live) merged(list []membership.Member) []core.Node {
+	out := make([]core.Node, 0, len(list))
+	if l.part != nil {
+		list = l.subset(list)
+	}
+	for _, m := range list {
+		n := core.Node{ID: m.ID, Addr: m.Addr, Objects: m.Objects, Shard: m.Shard, Zone: m.Zone, Started: m.Started}
+		switch m.State {
+		case membership.Draining:
+			n.State = policy.Draining
+		case membership.Out:
+			n.State = policy.Gone
+		}
+		out = append(out, n)
+	}
+	return out
+}
+
+// subset is what the changes mean for the part of the fleet that this broker uses. Who drains or is out is told in any
+// case, and makes place for another.
+func (l *live) subset(list []membership.Member) (out []membership.Member) {
+	var set []routing.Entry
+	var gone []string
+	listed := map[string]bool{}
+	for _, m := range list {
+		listed[m.ID] = true
+		if m.State == membership.Up {
+			set = append(set, routing.Entry{Node: routing.Node{ID: m.ID, Weight: m.Capacity}, Shard: m.Shard})
+		} else {
+			gone = append(gone, m.ID)
+		}
+	}
+	begin, end := l.part.Change(set, gone)
+	for _, m := range list {
+		switch {
+		case m.State != membership.Up || l.part.Uses(m.ID):
+			out = append(out, m)
+		case slices.Contains(end, m.ID):
+			out = append(out, membership.Member{ID: m.ID, State: membership.Out})
+		}
+	}
+	for _, id := range begin {
+		if m, ok := l.all.Get(id); ok && !listed[id] {
+			out = append(out, m)
+		}
+	}
+	for _, id := range end {
+		if !listed[id] {
+			out = append(out, membership.Member{ID: id, State: membership.Out})
+		}
+	}
+	return out
+}
+
+// ticks lets the membership's timers fire.
+func (l *live) ticks(ctx context.Context) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		l.mu.Lock()
+		if changed := l.all.Tick(l.time.Now()); len(changed) > 0 {
+			l.pass(l.merged(changed), false)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// explain tells where what is known of nodes comes from.
+func (l *live) explain(id string) any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if id != "" {
+		return l.all.Explain(id)
+	}
+	held, why := l.all.Held(membership.Files)
+	out := struct {
+		Epoch uint64                   `json:"epoch"`
+		Held  []string                 `json:"held,omitempty"`
+		Why   string                   `json:"why,omitempty"`
+		Nodes []membership.Explanation `json:"nodes"`
+	}{l.all.Epoch(), held, why, []membership.Explanation{}}
+	for _, m := range l.all.Members() {
+		out.Nodes = append(out.Nodes, l.all.Explain(m.ID))
+	}
+	return out
+}
+
+// accept believes what the guard holds back.
+func (l *live) accept() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.all.Accept(membership.Files, l.time.Now())
+	if len(changed) > 0 {
+		l.log.Info("nodes: omissions accepted by an operator", "changed", len(changed))
+		l.pass(l.merged(changed), false)
+	}
+	return len(changed)
+}
+
+// nodeFiles keeps the lists in files in the membership.
+type nodeFiles struct {
+	l     *live
+	paths []string
+	log   *slog.Logger
+	seen  []string // files and folders read last
+	good  map[string]membership.Entry
+	memo  map[string]*nodefile.Memo
+	told  string // the guard's reason that was logged last
+}
+
+// load reads all lists. settle is asked after the texts are in memory and before they are taken apart: whether they stood
+// still meanwhile.
+func (f *nodeFiles) load(settle func() bool) (docs []*nodefile.Doc, settled bool) {
+	texts := map[string][]byte{}
+	errs := map[string]error{}
+	f.seen = slices.Clone(f.paths)
+	read := func(path string) ([]byte, error) {
+		if b, ok := texts[path]; ok {
+			return b, nil
+		}
+		if err, ok := errs[path]; ok {
+			return nil, err
+		}
+		f.seen = append(f.seen, path)
+		b, err := os.ReadFile(path)
+		if err != nil {
+			errs[path] = err
+			return nil, err
+		}
+		texts[path] = b
+		return b, nil
+	}
+	list := func(dir string) ([]string, error) {
+		f.seen = append(f.seen, dir)
+		entries, err := os.ReadDir(dir)
+		if err != nil {
+			return nil, err
+		}
+		var out []string
+		for _, e := range entries {
+			switch strings.ToLower(filepath.Ext(e.Name())) {
+			case ".csv", ".yaml", ".yml":
+				if e.Name()[0] != '.' {
+					out = append(out, filepath.Join(dir, e.Name()))
+				}
+			}
+		}
+		sort.Strings(out)
+		return out, nil
+	}
+	first := nodefile.Files{Read: read, List: list}
+	for _, p := range f.paths {
+		docs = append(docs, nodefile.Load(p, first))
+	}
+	if settle() {
+		return docs, true
+	}
+	// It was being written: what stands behind the last whole line may be half a row.
+	docs = docs[:0]
+	for _, p := range f.paths {
+		docs = append(docs, nodefile.Load(p, nodefile.Files{List: list, Read: func(path string) ([]byte, error) {
+			b, err := read(path)
+			if strings.EqualFold(filepath.Ext(path), ".csv") {
+				b = b[:strings.LastIndexByte(string(b), '\n')+1]
+			}
+			return b, err
+		}}))
+	}
+	return docs, false
+}
+
+// read reads the lists at the start. The caller holds the live's mu.
+func (f *nodeFiles) read(settled bool) bool {
+	docs, _ := f.load(func() bool { return settled })
+	_, ok := f.take(docs, settled)
+	return ok
+}
+
+// take hands the lists to the membership. A row that is faulty now keeps its last good content; a list that cannot be read at
+// all, or was being written, takes nothing away. It reports whether all could be read.
+func (f *nodeFiles) take(docs []*nodefile.Doc, settled bool) (changed []membership.Member, whole bool) {
+	whole = true
+	next := map[string]membership.Entry{}
+	faults := 0
+	for _, d := range docs {
+		whole = whole && d.Whole
+		for i := range d.Rows {
+			r := &d.Rows[i]
+			if _, twice := next[r.ID]; twice {
+				f.log.Warn("nodes: given in two lists, the first counts", "node", r.ID, "at", r.Pos.String())
+				continue
+			}
+			e := membership.Entry{ID: r.ID, Addr: r.Addr, Objects: r.Objects, Shard: r.Shard, Zone: f.l.zoneOf(r.Zone), Kind: r.Kind, Capacity: r.Capacity,
+				Where: r.Pos.String()}
+			switch r.State {
+			case "draining":
+				e.State = membership.Draining
+			case "out":
+				e.State = membership.Out
+			}
+			next[r.ID] = e
+		}
+	}
+	for _, d := range docs {
+		for _, x := range d.Faults {
+			if faults++; faults <= 20 {
+				f.log.Warn("nodes: "+map[bool]string{true: "doubtful row", false: "faulty row, the rest is used"}[x.Warn], "at", x.Pos.String(), "key", x.Key, "what", x.Text)
+			}
+			if old, ok := f.good[x.Node]; ok && x.Node != "" && !x.Warn {
+				if _, there := next[x.Node]; !there {
+					next[x.Node] = old
+				}
+			}
+		}
+	}
+	if faults > 20 {
+		f.log.Warn("nodes: more faulty rows", "count", faults-20)
+	}
+	if !whole || !settled {
+		for id, old := range f.good {
+			if _, ok := next[id]; !ok {
+				next[id] = old
+			}
+		}
+	}
+	entries := make([]membership.Entry, 0, len(next))
+	for _, e := range next {
+		entries = append(entries, e)
+	}
+	f.good = next
+	f.l.said[membership.Files]++
+	changed = f.l.all.Tell(membership.Files, f.l.said[membership.Files], entries, f.l.time.Now())
+	if _, why := f.l.all.Held(membership.Files); why != f.told {
+		f.told = why
+		if why != "" {
+			f.log.Error("nodes: " + why)
+		}
+	}
+	return changed, whole
+}
+
+// run follows the files until ctx is done.
+func (f *nodeFiles) run(ctx context.Context) {
+	w, err := filewatch.New(filewatch.DefaultTimes())
+	if err != nil {
+		f.log.Warn("nodes: no signs of changes from the system, the lists are looked at", "err", err)
+	}
+	defer w.Close()
+	w.Watch(f.seen)
+	// What has changed between the first reading and now is found by reading once more.
+	unsettled := true
+	for {
+		c, ok := w.Next(ctx, unsettled)
+		if !ok {
+			return
+		}
+		docs, settled := f.load(func() bool { return c.Settled && w.Same() })
+		unsettled = !settled
+		f.l.mu.Lock()
+		changed, whole := f.take(docs, settled)
+		if len(changed) > 0 {
+			f.l.pass(f.l.merged(changed), false)
+		}
+		f.l.mu.Unlock()
+		w.Watch(f.seen)
+		if len(changed) > 0 || !whole {
+			f.log.Info("nodes: lists read", "rows", len(f.good), "changed", len(changed), "settled", settled, "whole", whole,
+				"told", time.Since(c.Since).Round(time.Millisecond))
+		}
+		for _, m := range changed {
+			f.log.Debug("nodes: node", "node", m.ID, "state", m.State, "addr", m.Addr, "started", fmt.Sprint(clock.Duration(m.Started)))
+		}
+	}
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -55,10 +55,13 @@
 		return fmt.Errorf("known: %w", err)
 	}
 	watch := discovery.New(cfg.Discovery, cfg.Known.Rev, cfg.Zones, table, facade, lim, log)
-	l := newLive(cfg, table, facade, watch, gate, reload)
+	l := newLive(cfg, table, facade, watch, gate, reload, c, log)
 	l.rec = rec
 	rec.discovery(watch)
-	l.list(known, true)
+	files, err := l.begin(cfg, known)
+	if err != nil {
+		return err
+	}
 
 	// What the fronts stand on outlives them: it stops when they have drained.
 	back, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -75,6 +78,12 @@
 	if reload != nil {
 		behind.Go(func() { reload.run(back, cfg, l, log) })
 	}
+	if l.all != nil {
+		behind.Go(func() { l.ticks(back) })
+	}
+	if files != nil {
+		behind.Go(func() { files.run(back) })
+	}
 	if cfg.Control != nil {
 		end, err := l.control(back, cfg, &behind, log)
 		if err != nil {
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -37,19 +37,21 @@
 	Log     io.Writer     // of manager and agents; nil: files in Dir
 	Aim     time.Duration // of all classes; 0: 20 s, so that no slow machine changes a verdict
 	Record  bool          // brokers record to Dir/records
+	Lists   bool          // nodes stand in Dir/nodes.csv, and discovery knows none
 }
 
 // Stack is a running installation.
 type Stack struct {
-	opt    Options
-	Config string // fleet.toml of the manager and the command line
-	Client *api.Client
-	Disc   *standin.Discovery
-	Stores []*standin.Block
-	Object []*standin.Objects
-	Block  []string // addresses of the block fronts
-	Front  []string // and of the object fronts
-	addrs  []string // of the nodes
+	opt     Options
+	Config  string // fleet.toml of the manager and the command line
+	Client  *api.Client
+	Disc    *standin.Discovery
+	Stores  []*standin.Block
+	Object  []*standin.Objects
+	Block   []string // addresses of the block fronts
+	Front   []string // and of the object fronts
+	addrs   []string // of the nodes
+	objects []string
 
 	stops []func()
 	mu    sync.Mutex
@@ -79,6 +81,10 @@
 			return nil, err
 		}
 		s.Stores, s.Object, s.addrs = append(s.Stores, b), append(s.Object, ob), append(s.addrs, ba)
+		s.objects = append(s.objects, oa)
+		if o.Lists {
+			continue
+		}
 		s.Disc.Set(discovery.Target{UID: fmt.Sprint("s-", k), Endpoint: ba, ObjectEndpoint: oa, AZ: "room", Model: "toy", PodGroup: k, State: "up",
 			CapacityHint: 1})
 	}
@@ -86,6 +92,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Lists {
+		if err := s.write("nodes.csv", s.List(nil)); err != nil {
+			return nil, err
+		}
+	}
 	if err := s.write("broker.json", s.broker(at)); err != nil {
 		return nil, err
 	}
@@ -155,6 +166,9 @@
 			"default_plan": "basis"},
 		"tuning": m{"drain_serve": 300000, "drain_accept": 300000, "drain_answer": 2500000, "drain_total": 4000000},
 	}
+	if s.opt.Lists {
+		doc["nodes"] = m{"files": []string{filepath.Join(s.opt.Dir, "nodes.csv")}}
+	}
 	if s.opt.Record {
 		doc["record"] = m{"dir": s.Records()}
 	}
@@ -188,6 +202,22 @@
 // Records is where brokers record, if they do.
 func (s *Stack) Records() string { return filepath.Join(s.opt.Dir, "records") }
 
+// List is the text of a list with all nodes. edit may change a node's row; an empty one is left out.
+func (s *Stack) List(edit func(node int, row string) string) string {
+	var b strings.Builder
+	b.WriteString("id,addr,objects,shard,state\n")
+	for k := range s.addrs {
+		row := fmt.Sprintf("s-%d,%s,%s,%d,up", k, s.addrs[k], s.objects[k], k)
+		if edit != nil {
+			row = edit(k, row)
+		}
+		if row != "" {
+			b.WriteString(row + "\n")
+		}
+	}
+	return b.String()
+}
+
 // Manager starts the manager.
 func (s *Stack) Manager() error { return s.start("manager", "fleet", "manager", "-c", s.Config) }
 
--- /dev/null
+++ b/tools/nodesmeasure/main.go
@@ -0,0 +1,100 @@
+// Command nodesmeasure edits the list of storage nodes in every way under running brokers and load, and measures when new work
+// stops reaching the node that was taken away.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"poppyarch/internal/stack"
+	"poppyarch/internal/standin"
+)
+
+func main() {
+	program := flag.String("program", "bin/poppyarch", "poppyarch")
+	runs := flag.Int("runs", 3, "repeats")
+	flag.Parse()
+	if err := run(*program, *runs); err != nil {
+		fmt.Fprintln(os.Stderr, "nodesmeasure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(program string, runs int) error {
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return err
+	}
+	type sum struct {
+		most time.Duration
+		work int
+	}
+	var order []string
+	by := map[string]*sum{}
+	for range runs {
+		edits, err := one(program)
+		if err != nil {
+			return err
+		}
+		for _, e := range edits {
+			x := by[e.Name]
+			if x == nil {
+				x = &sum{}
+				by[e.Name] = x
+				order = append(order, e.Name)
+			}
+			x.most, x.work = max(x.most, e.Took), max(x.work, e.Work)
+		}
+	}
+	fmt.Printf("| edit | last new work after it, the most of %d runs | pieces of work after it |\n| --- | --- | --- |\n", runs)
+	bad := 0
+	for _, name := range order {
+		x := by[name]
+		fmt.Printf("| %s | %d ms | %d |\n", name, x.most.Milliseconds(), x.work)
+		if x.most > 500*time.Millisecond {
+			bad++
+		}
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d edits took more than 500 ms", bad)
+	}
+	return nil
+}
+
+func one(program string) ([]stack.Edit, error) {
+	dir, err := os.MkdirTemp("", "nodes")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	s, err := stack.New(stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 2, Objects: 1, Agents: 1, Soak: 50 * time.Millisecond,
+		Aim: 2 * time.Second, Lists: true})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	if err := s.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
+		return nil, err
+	}
+	if out, err := s.Run("apply", "--wait"); err != nil {
+		return nil, fmt.Errorf("%w: %s", err, out)
+	}
+	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 4, Clients: 4,
+		Pause: 2 * time.Millisecond}
+	on, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	all.Go(func() { load.Run(on) })
+	defer all.Wait()
+	defer stop()
+	return s.Edits(ctx, time.Second, 20*time.Second)
+}
