--- a/internal/lab/engine/queue.go
+++ b/internal/lab/engine/queue.go
@@ -33,11 +33,13 @@
 func (q *Queue) file(e Event) {
 	k := int(e.At/q.width) & (len(q.days) - 1)
 	d := q.days[k]
-	// Most events belong before all that are there, or after: look from the near end.
-	i := len(d)
-	for i > 0 && !e.before(&d[i-1]) {
-		i--
-	}
+	// Descending: behind all that come later.
+	i, _ := slices.BinarySearchFunc(d, e, func(x, e Event) int {
+		if e.before(&x) {
+			return -1
+		}
+		return 1
+	})
 	q.days[k] = slices.Insert(d, i, e)
 	if e.At < q.end-q.width { // before the day that is looked at next
 		q.turn(e.At)
