Fleet: what a second reading found: lost history, machines gone for good, old commands

Seen when reading the change as its pager would: an agent that followed another manager left its brokers with editions above any that the new one would give, never current again, and a manager that had released only a canary would have had the rest ended; an instance wanted elsewhere waited for ever on a machine that had burned; a command whose answer was lost was asked again with another content once what is wanted had moved on; and an instance that began to flap after its wave was over did not count against the budget.

Now a registration carries the highest edition followed, what a manager wants but has not released is left as it is, fleet agents retire frees what a dead machine holds, old commands are dropped and looked at, and late failures count.

--- a/cmd/poppyarch/fleet.go
+++ b/cmd/poppyarch/fleet.go
@@ -54,14 +54,28 @@
 	return s, nil
 }
 
-// client returns the settings, a client for the manager, and a context that ends with the time-out.
-func (f *fleetFlags) client(cmd *cobra.Command) (settings.File, *api.Client, context.Context, context.CancelFunc, error) {
-	s, err := f.load()
-	if err != nil {
-		return s, nil, nil, nil, err
+// session is one call of a command: its settings, a client for the manager, and a context that ends with the time-out.
+type session struct {
+	cmd    *cobra.Command
+	args   []string
+	set    settings.File
+	client *api.Client
+	ctx    context.Context
+}
+
+// with runs a command in a session of its own.
+func (f *fleetFlags) with(run func(*session) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		s, err := f.load()
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
+		defer cancel()
+		client := api.NewClient(s.Fleet.Manager)
+		defer client.Close()
+		return run(&session{cmd: cmd, args: args, set: s, client: client, ctx: ctx})
 	}
-	ctx, cancel := context.WithTimeout(cmd.Context(), f.timeout)
-	return s, api.NewClient(s.Fleet.Manager), ctx, cancel, nil
 }
 
 // command is a new command of the caller's. With --id a script that does not know whether it got through may ask again.
@@ -97,7 +111,7 @@
 	p.StringVar(&f.id, "id", "", "the command's id; asked again with the same id, it is carried out once")
 	p.StringVar(&f.level, "log", "info", "of manager and agent: debug, info, warn or error")
 	c.AddCommand(f.managerCommand(), f.agentCommand(), f.statusCommand(), f.applyCommand("apply"), f.applyCommand("plan"),
-		f.applyCommand("diff"), f.rolloutCommand(), f.nodesCommand(), f.historyCommand(), f.waitCommand(), f.consoleCommand())
+		f.applyCommand("diff"), f.rolloutCommand(), f.nodesCommand(), f.historyCommand(), f.waitCommand(), f.consoleCommand(), f.agentsCommand())
 	for _, sub := range c.Commands() {
 		if sub.Args == nil {
 			sub.Args = usage(cobra.NoArgs)
@@ -239,12 +253,8 @@
 		"diff": "Show what differs between the inventory and the fleet; exit code 4 if anything does"}[what]
 	c := &cobra.Command{
 		Use: what, Short: short,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, client, ctx, cancel, err := f.client(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
+		RunE: f.with(func(in *session) error {
+			s := in.set
 			if file == "" {
 				file = s.Fleet.Inventory
 			}
@@ -256,21 +266,21 @@
 				return &exit{exitUsage, err}
 			}
 			dry = dry || what != "apply"
-			r, err := client.Apply(ctx, &api.ApplyCall{Command: f.command(note, expect, dry), Spec: *want, Strategy: s.Strategy.State()})
+			r, err := in.client.Apply(in.ctx, &api.ApplyCall{Command: f.command(note, expect, dry), Spec: *want, Strategy: s.Strategy.State()})
 			if err != nil {
 				return err
 			}
-			if err := f.show(cmd, what, r); err != nil {
+			if err := f.show(in.cmd, what, r); err != nil {
 				return err
 			}
 			if what == "diff" && r.Plan != nil && len(r.Plan.Changes) > 0 {
 				return &exit{exitUnhealthy, fmt.Errorf("%d instances differ", len(r.Plan.Changes))}
 			}
 			if wait && !dry && r.Result.Rollout > 0 {
-				return f.wait(cmd, ctx, client, r.Result.Rollout)
+				return f.wait(in.cmd, in.ctx, in.client, r.Result.Rollout)
 			}
 			return nil
-		},
+		}),
 	}
 	c.Flags().StringVarP(&file, "inventory", "i", "", "the inventory (.csv, .yaml or .yml)")
 	if what == "apply" {
@@ -287,18 +297,13 @@
 	c := &cobra.Command{Use: "rollout", Short: "Look at rollouts and steer them"}
 	status := &cobra.Command{
 		Use: "status", Short: "Show the rollouts", Args: usage(cobra.NoArgs),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, client, ctx, cancel, err := f.client(cmd)
+		RunE: f.with(func(in *session) error {
+			o, err := in.client.Overview(in.ctx, nil, nil)
 			if err != nil {
 				return err
 			}
-			defer cancel()
-			o, err := client.Overview(ctx, nil, nil)
-			if err != nil {
-				return err
-			}
-			return f.print(cmd, o.Rollouts, func() { showRollouts(cmd.OutOrStdout(), o.Rollouts) })
-		},
+			return f.print(in.cmd, o.Rollouts, func() { showRollouts(in.cmd.OutOrStdout(), o.Rollouts) })
+		}),
 	}
 	c.AddCommand(status)
 	for _, x := range []struct {
@@ -313,18 +318,13 @@
 		var note string
 		sub := &cobra.Command{
 			Use: x.name, Short: x.short, Args: usage(cobra.NoArgs),
-			RunE: func(cmd *cobra.Command, _ []string) error {
-				_, client, ctx, cancel, err := f.client(cmd)
+			RunE: f.with(func(in *session) error {
+				r, err := in.client.Steer(in.ctx, &api.SteerCall{Command: f.command(note, 0, false), Rev: rev, To: x.to})
 				if err != nil {
 					return err
 				}
-				defer cancel()
-				r, err := client.Steer(ctx, &api.SteerCall{Command: f.command(note, 0, false), Rev: rev, To: x.to})
-				if err != nil {
-					return err
-				}
-				return f.show(cmd, "rollout "+x.name, r)
-			},
+				return f.show(in.cmd, "rollout "+x.name, r)
+			}),
 		}
 		sub.Flags().Uint64Var(&rev, "rollout", 0, "its revision; else the one under way")
 		sub.Flags().StringVar(&note, "note", "", "why")
@@ -335,24 +335,20 @@
 	var nodes, dry, wait bool
 	back := &cobra.Command{
 		Use: "rollback --to REVISION", Short: "Go back to an earlier revision; a rollout under way ends", Args: usage(cobra.NoArgs),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			s, client, ctx, cancel, err := f.client(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			r, err := client.Rollback(ctx, &api.RollbackCall{Command: f.command(note, expect, dry), To: to, WithNodes: nodes, Strategy: s.Strategy.State()})
+		RunE: f.with(func(in *session) error {
+			s := in.set
+			r, err := in.client.Rollback(in.ctx, &api.RollbackCall{Command: f.command(note, expect, dry), To: to, WithNodes: nodes, Strategy: s.Strategy.State()})
 			if err != nil {
 				return err
 			}
-			if err := f.show(cmd, "rollout rollback", r); err != nil {
+			if err := f.show(in.cmd, "rollout rollback", r); err != nil {
 				return err
 			}
 			if wait && !dry && r.Result.Rollout > 0 {
-				return f.wait(cmd, ctx, client, r.Result.Rollout)
+				return f.wait(in.cmd, in.ctx, in.client, r.Result.Rollout)
 			}
 			return nil
-		},
+		}),
 	}
 	back.Flags().Uint64Var(&to, "to", 0, "the revision")
 	back.Flags().Uint64Var(&expect, "expect", 0, "refuse unless this is the newest revision")
@@ -372,18 +368,13 @@
 			"work away from one that it does; they never bring work to a node that discovery has draining or removed."}
 	c.AddCommand(&cobra.Command{
 		Use: "list", Short: "Show the node changes in force", Args: usage(cobra.NoArgs),
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, client, ctx, cancel, err := f.client(cmd)
+		RunE: f.with(func(in *session) error {
+			o, err := in.client.Overview(in.ctx, nil, nil)
 			if err != nil {
 				return err
 			}
-			defer cancel()
-			o, err := client.Overview(ctx, nil, nil)
-			if err != nil {
-				return err
-			}
-			return f.print(cmd, o.Nodes, func() { showNodes(cmd.OutOrStdout(), o.Nodes) })
-		},
+			return f.print(in.cmd, o.Nodes, func() { showNodes(in.cmd.OutOrStdout(), o.Nodes) })
+		}),
 	})
 	for _, x := range []struct {
 		name, short string
@@ -400,12 +391,8 @@
 		var dry, wait bool
 		sub := &cobra.Command{
 			Use: x.name + " NODE...", Short: x.short, Args: usage(cobra.MinimumNArgs(1)),
-			RunE: func(cmd *cobra.Command, ids []string) error {
-				_, client, ctx, cancel, err := f.client(cmd)
-				if err != nil {
-					return err
-				}
-				defer cancel()
+			RunE: f.with(func(in *session) error {
+				ids := in.args
 				var list []state.NodeChange
 				for _, id := range ids {
 					ch := state.NodeChange{ID: id}
@@ -414,15 +401,15 @@
 					}
 					list = append(list, ch)
 				}
-				r, err := client.Nodes(ctx, &api.NodesCall{Command: f.command(note, expect, dry), Changes: list})
+				r, err := in.client.Nodes(in.ctx, &api.NodesCall{Command: f.command(note, expect, dry), Changes: list})
 				if err != nil {
 					return err
 				}
-				if err := f.show(cmd, "nodes "+x.name, r); err != nil || !wait {
+				if err := f.show(in.cmd, "nodes "+x.name, r); err != nil || !wait {
 					return err
 				}
-				return f.wait(cmd, ctx, client, 0)
-			},
+				return f.wait(in.cmd, in.ctx, in.client, 0)
+			}),
 		}
 		if x.to == spec.NodeAdded {
 			sub.Args = usage(cobra.ExactArgs(1))
@@ -448,13 +435,9 @@
 		Use: "status [INSTANCE...]", Short: "Show instances, agents and rollouts; exit code 4 if anything is not as wanted",
 		Args:              usage(cobra.ArbitraryArgs),
 		ValidArgsFunction: f.completeInstances,
-		RunE: func(cmd *cobra.Command, names []string) error {
-			_, client, ctx, cancel, err := f.client(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			o, err := client.Overview(ctx, names, terms)
+		RunE: f.with(func(in *session) error {
+			names := in.args
+			o, err := in.client.Overview(in.ctx, names, terms)
 			if err != nil {
 				return err
 			}
@@ -467,7 +450,7 @@
 					return &exit{exitUsage, fmt.Errorf("instance %s: unknown", name)}
 				}
 			}
-			if err := f.print(cmd, o, func() { showOverview(cmd.OutOrStdout(), o) }); err != nil {
+			if err := f.print(in.cmd, o, func() { showOverview(in.cmd.OutOrStdout(), o) }); err != nil {
 				return err
 			}
 			bad := 0
@@ -480,7 +463,7 @@
 				return &exit{exitUnhealthy, fmt.Errorf("%d of %d instances are not as wanted", bad, len(o.Instances))}
 			}
 			return nil
-		},
+		}),
 	}
 	c.Flags().StringArrayVarP(&terms, "select", "l", nil, "group=G, agent=A, domain=D or label.KEY=VALUE; several must all hold")
 	return c
@@ -505,22 +488,48 @@
 	return names, cobra.ShellCompDirectiveNoFileComp
 }
 
+// agentsCommand is list and retire.
+func (f *fleetFlags) agentsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "agents", Short: "Show agents, and say that one is gone for good"}
+	c.AddCommand(&cobra.Command{
+		Use: "list", Short: "Show the agents", Args: usage(cobra.NoArgs),
+		RunE: f.with(func(in *session) error {
+			o, err := in.client.Overview(in.ctx, nil, nil)
+			if err != nil {
+				return err
+			}
+			return f.print(in.cmd, o.Agents, func() { showAgents(in.cmd.OutOrStdout(), o.Agents) })
+		}),
+	})
+	var note string
+	retire := &cobra.Command{
+		Use: "retire AGENT", Short: "Its machine is gone for good: what is wanted elsewhere need not wait for it", Args: usage(cobra.ExactArgs(1)),
+		Long: "An instance that moves to another agent is started there once the old one has let it go. A machine that will not come back lets\n" +
+			"nothing go: this says so in its place. Only a silent agent can be retired. Be sure that its brokers do not run.",
+		RunE: f.with(func(in *session) error {
+			r, err := in.client.Retire(in.ctx, &api.RetireCall{Command: f.command(note, 0, false), Agent: in.args[0]})
+			if err != nil {
+				return err
+			}
+			return f.show(in.cmd, "agents retire", r)
+		}),
+	}
+	retire.Flags().StringVar(&note, "note", "", "why, for the log")
+	c.AddCommand(retire)
+	return c
+}
+
 func (f *fleetFlags) historyCommand() *cobra.Command {
 	var most int
 	c := &cobra.Command{
 		Use: "history", Short: "Show the revisions, newest first",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, client, ctx, cancel, err := f.client(cmd)
+		RunE: f.with(func(in *session) error {
+			h, err := in.client.History(in.ctx, most)
 			if err != nil {
 				return err
 			}
-			defer cancel()
-			h, err := client.History(ctx, most)
-			if err != nil {
-				return err
-			}
-			return f.print(cmd, h, func() { showHistory(cmd.OutOrStdout(), h) })
-		},
+			return f.print(in.cmd, h, func() { showHistory(in.cmd.OutOrStdout(), h) })
+		}),
 	}
 	c.Flags().IntVarP(&most, "count", "n", 20, "at most so many")
 	return c
@@ -530,14 +539,9 @@
 	var rev uint64
 	c := &cobra.Command{
 		Use: "wait", Short: "Return when everything is as wanted, or a rollout has ended",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			_, client, ctx, cancel, err := f.client(cmd)
-			if err != nil {
-				return err
-			}
-			defer cancel()
-			return f.wait(cmd, ctx, client, rev)
-		},
+		RunE: f.with(func(in *session) error {
+			return f.wait(in.cmd, in.ctx, in.client, rev)
+		}),
 	}
 	c.Flags().Uint64Var(&rev, "rollout", 0, "wait for the rollout of this revision; else for the whole fleet")
 	return c
--- a/cmd/poppyarch/fleet_show.go
+++ b/cmd/poppyarch/fleet_show.go
@@ -109,18 +109,7 @@
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "INSTANCE\tAGENT\tSTATE\tREV\tHOLDS\tBOOT\tNODES\tAGE\tWHY")
 	for _, i := range o.Instances {
-		st := string(i.Seen.Proc)
-		if st == "" {
-			st = "unknown"
-		}
-		holds := "old"
-		switch {
-		case i.Current:
-			holds = "current"
-		case i.Seen.Boot == "":
-			holds = "unknown"
-		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%.8s\t%d\t%s\t%s\n", i.Name, i.Agent, st, i.Rev, holds, dash(i.Seen.Boot), i.Seen.Nodes,
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%.8s\t%d\t%s\t%s\n", i.Name, i.Agent, i.Proc(), i.Rev, i.Holds(), dash(i.Seen.Boot), i.Seen.Nodes,
 			age(i.Age), i.Why)
 	}
 	t.Flush()
@@ -136,6 +125,19 @@
 	}
 }
 
+func showAgents(w io.Writer, list []state.AgentStatus) {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "AGENT\tSTATE\tHEARD\tINSTANCES\tNOT AS WANTED")
+	for _, a := range list {
+		st, differ := "heard", fmt.Sprint(a.Differing)
+		if a.Silent {
+			st, differ = "silent", fmt.Sprint(a.Instances)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\n", a.Name, st, age(a.Age), a.Instances, differ)
+	}
+	t.Flush()
+}
+
 // line words a rollout.
 func line(r state.RolloutStatus) string {
 	s := fmt.Sprintf("rollout %d %s", r.Rev, r.Phase)
--- a/cmd/poppyarch/fleet_test.go
+++ b/cmd/poppyarch/fleet_test.go
@@ -259,6 +259,8 @@
 		{[]string{"status", "-l", "colour=red"}, exitUsage, "selector"},
 		{[]string{"rollout", "rollback", "--to", "9"}, exitUsage, "revision 9"},
 		{[]string{"--timeout", "1s", "wait"}, exitRollout, "in time"},
+		{[]string{"agents", "list"}, 0, "silent"},
+		{[]string{"agents", "retire", "nobody"}, exitUsage, "agent nobody"},
 		{[]string{"nodes", "back", "s-9"}, exitUsage, "s-9"},
 		{[]string{"nodes", "drain", "s-0"}, 0, "revision 2"},
 		{[]string{"nodes", "list"}, 0, "drain"},
--- a/internal/console/table.go
+++ b/internal/console/table.go
@@ -55,17 +55,7 @@
 		figs[f.Name] = f
 	}
 	for _, i := range o.Instances {
-		st := string(i.Seen.Proc)
-		if st == "" {
-			st = "unknown"
-		}
-		holds := "old"
-		switch {
-		case i.Current:
-			holds = "current"
-		case i.Seen.Boot == "":
-			holds = "unknown"
-		}
+		st, holds := i.Proc(), i.Holds()
 		req, ref, fail, open := "-", "-", "-", "-"
 		d := []string{
 			fmt.Sprintf("agent %s, domain %s, revision %d, edition %d wanted and %d held", i.Agent, i.Domain, i.Rev, i.Target, i.Seen.Applied),
--- a/internal/fleet/api/api.go
+++ b/internal/fleet/api/api.go
@@ -106,6 +106,12 @@
 	To  state.Phase `json:"to"`
 }
 
+// RetireCall says that an agent and its machine are gone for good.
+type RetireCall struct {
+	state.Command
+	Agent string `json:"agent"`
+}
+
 // RollbackCall goes back to an earlier revision.
 type RollbackCall struct {
 	state.Command
--- a/internal/fleet/api/client.go
+++ b/internal/fleet/api/client.go
@@ -134,10 +134,12 @@
 func (r *remote) Unwrap() error { return r.kind }
 
 // Register makes the caller the newest agent of its name.
-func (c *Client) Register(ctx context.Context, agent string) (r Registration, err error) {
+// seen is 0, or the highest edition that it followed before it came to this fleet.
+func (c *Client) Register(ctx context.Context, agent string, seen uint64) (r Registration, err error) {
 	err = c.Call(ctx, "agents/register", 0, struct {
 		Agent string `json:"agent"`
-	}{agent}, &r)
+		Seen  uint64 `json:"seen"`
+	}{agent, seen}, &r)
 	return r, err
 }
 
@@ -181,6 +183,12 @@
 	return r, err
 }
 
+// Retire says that an agent and its machine are gone for good.
+func (c *Client) Retire(ctx context.Context, a *RetireCall) (r Reply, err error) {
+	err = c.Call(ctx, "agents/retire", 0, a, &r)
+	return r, err
+}
+
 // Rollback goes back to an earlier revision.
 func (c *Client) Rollback(ctx context.Context, b *RollbackCall) (r Reply, err error) {
 	err = c.Call(ctx, "rollback", 0, b, &r)
--- a/internal/fleet/manager/http.go
+++ b/internal/fleet/manager/http.go
@@ -50,7 +50,12 @@
 func (m *Manager) Handler() http.Handler {
 	mux := http.NewServeMux()
 	type none struct{}
-	route(mux, "agents/register", func(_ context.Context, in *struct{ Agent string }) (any, error) { return m.Register(in.Agent) })
+	route(mux, "agents/register", func(_ context.Context, in *struct {
+		Agent string
+		Seen  uint64
+	}) (any, error) {
+		return m.Register(in.Agent, in.Seen)
+	})
 	route(mux, "agents/report", func(_ context.Context, in *api.ReportCall) (any, error) { return none{}, m.Report(in) })
 	route(mux, "agents/assignments", func(ctx context.Context, in *api.AssignCall) (any, error) { return m.Assignments(ctx, in) })
 	route(mux, "configs", func(_ context.Context, in *struct{ Digest string }) (any, error) {
@@ -62,6 +67,7 @@
 	route(mux, "apply", func(_ context.Context, in *api.ApplyCall) (any, error) { return m.Apply(in) })
 	route(mux, "rollback", func(_ context.Context, in *api.RollbackCall) (any, error) { return m.Rollback(in) })
 	route(mux, "nodes", func(_ context.Context, in *api.NodesCall) (any, error) { return m.Nodes(in) })
+	route(mux, "agents/retire", func(_ context.Context, in *api.RetireCall) (any, error) { return m.Retire(in) })
 	route(mux, "steer", func(_ context.Context, in *api.SteerCall) (any, error) { return m.Steer(in) })
 	route(mux, "overview", func(_ context.Context, in *struct{ Names, Terms []string }) (any, error) {
 		return m.Overview(spec.Selector{Names: in.Names, Terms: in.Terms})
--- a/internal/fleet/manager/manager.go
+++ b/internal/fleet/manager/manager.go
@@ -166,6 +166,8 @@
 		m.log.Info("manager: wave is over", "rollout", r.Rev)
 	case state.KindPhase:
 		m.log.Info("manager: rollout", "rollout", r.Rev, "phase", r.Phase, "reason", r.Reason, "by", r.By)
+	case state.KindRetire:
+		m.log.Warn("manager: agent retired, what it held is free", "agent", r.Agent, "by", r.By, "note", r.Note)
 	case state.KindHandover, state.KindGone:
 		m.log.Info("manager: instance let go", "instance", r.Names[0], "why", r.Kind)
 	}
@@ -234,13 +236,13 @@
 }
 
 // Register makes the caller the newest agent of its name.
-func (m *Manager) Register(agent string) (api.Registration, error) {
+func (m *Manager) Register(agent string, seen uint64) (api.Registration, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if agent == "" || len(agent) > 64 {
 		return api.Registration{}, fmt.Errorf("%w: agent: a name has 1 to 64 letters", api.ErrRequest)
 	}
-	r := m.s.Register(agent, m.clock.Now())
+	r := m.s.Register(agent, seen, m.clock.Now())
 	if err := m.put(r); err != nil {
 		return api.Registration{}, err
 	}
@@ -369,6 +371,14 @@
 	})
 }
 
+// Retire says that an agent and its machine are gone for good.
+func (m *Manager) Retire(c *api.RetireCall) (api.Reply, error) {
+	return m.command(&c.Command, func(now int64) (*state.Record, *state.Plan, error) {
+		r, err := m.s.Retire(&c.Command, c.Agent, now)
+		return r, nil, err
+	})
+}
+
 // Steer pauses, resumes or aborts a rollout.
 func (m *Manager) Steer(c *api.SteerCall) (api.Reply, error) {
 	if c.To != state.Paused && c.To != state.Active && c.To != state.Aborted {
--- a/internal/fleet/reconcile/reconcile.go
+++ b/internal/fleet/reconcile/reconcile.go
@@ -188,6 +188,11 @@
 	if m.boot != "" && now-m.lookedAt > m.t.Deaf {
 		m.boot, m.applied, m.healthy = "", 0, false // what it said is too old to be repeated as true
 	}
+	if m.Pending != nil && m.Pending.Target != m.Want.Target {
+		// What is wanted has moved on: asked again, the same id would carry another content. Whether the old command was
+		// taken shows at the next look.
+		m.Pending, m.boot, m.nextLook = nil, "", 0
+	}
 	if m.Pending != nil && m.boot != "" && m.Pending.Boot == m.boot {
 		if m.fails > 0 && now < m.nextLook {
 			return Action{}, m.nextLook
--- /dev/null
+++ b/internal/fleet/reconcile/reconcile_test.go
@@ -0,0 +1,234 @@
+package reconcile
+
+import (
+	"errors"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"poppyarch/internal/control"
+	"poppyarch/internal/fixedseed"
+	"poppyarch/internal/fleet/call"
+	"poppyarch/internal/fleet/state"
+	"poppyarch/internal/proc"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+func mind() *Mind {
+	m := New("n", DefaultTimes(), call.NewBudget(20, 0.1), func() float64 { return 0.5 })
+	m.Set(Want{Run: true, Digest: "d", Target: 5})
+	m.Starting("mark", "d")
+	m.Running(proc.Identity{PID: 7, Start: 1, Boot: "m"}, 1000)
+	return m
+}
+
+func state1(boot string, applied uint64) *control.State {
+	return &control.State{Boot: boot, PID: 7, Started: "d", Applied: applied}
+}
+
+// An answer to an older command, to another process's, or from another boot changes nothing that is reported.
+func TestOldAnswersAreNotBelieved(t *testing.T) {
+	m := mind()
+	now := int64(2000)
+	m.Looked(now, state1("b1", 0), true, nil)
+	a, _ := m.Next(now)
+	if a.Do != Change || a.Command.Boot != "b1" || a.Command.Target != 5 || a.Command.Base != 0 {
+		t.Fatalf("%+v", a)
+	}
+	old := *a.Command
+	// Another process answers at the address: it is not this one's word.
+	m.Looked(now, &control.State{Boot: "b9", PID: 99, Started: "d", Applied: 5}, true, nil)
+	m.Looked(now, &control.State{Boot: "b9", PID: 7, Started: "x", Applied: 5}, true, nil)
+	if r := m.Report(now); r.Boot != "b1" || r.Applied != 0 {
+		t.Fatalf("another process's word: %+v", r)
+	}
+	// What is wanted moves on while the answer is out: the old command is not asked again, since its id has another content now.
+	m.Set(Want{Run: true, Digest: "d", Target: 8})
+	if a, _ := m.Next(now); a.Do != Look {
+		t.Fatalf("%+v", a)
+	}
+	m.Looked(now, state1("b1", 0), true, nil)
+	a, _ = m.Next(now)
+	if a.Do != Change || a.Command.ID == old.ID || a.Command.Target != 8 {
+		t.Fatalf("%+v", a)
+	}
+	// Now the old answer comes, after the newer command: it must not count as that one's.
+	m.Changed(now, old.ID, &control.Outcome{Code: control.Taken, Boot: "b1", Applied: 5}, nil)
+	if r := m.Report(now); r.Applied != 0 || m.Pending == nil || m.Pending.Target != 8 {
+		t.Fatalf("an old answer: %+v, pending %+v", r, m.Pending)
+	}
+	// The broker is back with another boot at the same address: the command meant for the old one is gone.
+	m.Looked(now, state1("b2", 0), true, nil)
+	if m.Pending != nil || m.Report(now).Boot != "b2" {
+		t.Fatalf("%+v", m.Pending)
+	}
+	a, _ = m.Next(now)
+	if a.Do != Change || a.Command.Boot != "b2" {
+		t.Fatalf("%+v", a)
+	}
+	m.Changed(now, a.Command.ID, &control.Outcome{Code: control.Taken, Boot: "b2", Applied: 8}, nil)
+	if r := m.Report(now); r.Applied != 8 || r.Boot != "b2" {
+		t.Fatalf("%+v", r)
+	}
+	// A boot that says nothing for too long is not reported any more.
+	if r := m.Report(now + DefaultTimes().Deaf + 1); r.Boot != "" || r.Applied != 0 || r.Healthy {
+		t.Fatalf("%+v", r)
+	}
+}
+
+// A broker that turns a change down is not asked the same again and again; a new target is another matter.
+func TestRefusedOnce(t *testing.T) {
+	m := mind()
+	now := int64(2000)
+	m.Looked(now, state1("b1", 0), true, nil)
+	a, _ := m.Next(now)
+	m.Changed(now, a.Command.ID, &control.Outcome{Code: control.Refused, Reason: "live.log: x", Boot: "b1"}, nil)
+	for k := range int64(50) {
+		now += 100_000
+		if a, _ := m.Next(now); a.Do == Change {
+			t.Fatalf("asked again at step %d", k)
+		} else if a.Do == Look {
+			m.Looked(now, state1("b1", 0), true, nil)
+		}
+	}
+	if r := m.Report(now); r.Refused != 5 {
+		t.Fatalf("%+v", r)
+	}
+	m.Set(Want{Run: true, Digest: "d", Target: 6})
+	m.Looked(now, state1("b1", 0), true, nil)
+	if a, _ := m.Next(now); a.Do != Change || m.Report(now).Refused != 0 {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// A broker that has answered and then falls deaf is asked less and less often, and again soon after it is back.
+func TestDeafBrokerIsLeftAlone(t *testing.T) {
+	m := mind()
+	now := int64(2000)
+	m.Looked(now, state1("b1", 5), true, nil)
+	calls := 0
+	for end := now + 60_000_000; now < end; {
+		a, wake := m.Next(now)
+		if a.Do == Look {
+			calls++
+			m.Looked(now, nil, false, errors.New("connection refused"))
+			continue
+		}
+		now = max(wake, now+1000)
+	}
+	if calls > 40 || calls < 5 {
+		t.Errorf("%d calls in a minute of silence", calls)
+	}
+	last := now
+	for {
+		a, wake := m.Next(now)
+		if a.Do == Look {
+			m.Looked(now, state1("b1", 5), true, nil)
+			break
+		}
+		now = max(wake, now+1000)
+	}
+	if now-last > DefaultTimes().TripMost+1_000_000 || m.Report(now).Boot != "b1" {
+		t.Errorf("found again after %d µs", now-last)
+	}
+}
+
+// Whatever happens in whatever order: no start while a process may run, none in the midst of a drain, no command but to the boot that was
+// looked at last, and no report of what that boot has not said.
+func TestOrderOfThings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := New("n", DefaultTimes(), call.NewBudget(5, 0.1), func() float64 { return rapid.Float64Range(0, 1).Draw(t, "rnd") })
+		now := int64(1)
+		running, draining := false, false
+		boot, applied := 0, uint64(0)
+		pid := 100
+		ids := map[string]uint64{}
+		var lastLook string
+		start := func() {
+			if running {
+				t.Fatal("started while it runs")
+			}
+			running, draining = true, false
+			pid++
+			boot++
+			applied = 0
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += rapid.Int64Range(0, 2_000_000).Draw(t, "time")
+			switch rapid.IntRange(0, 9).Draw(t, "what") {
+			case 0:
+				m.Set(Want{Run: rapid.IntRange(0, 4).Draw(t, "run") > 0, Digest: rapid.SampledFrom([]string{"d", "e"}).Draw(t, "digest"),
+					Target: m.Want.Target + uint64(rapid.IntRange(0, 2).Draw(t, "target"))})
+				continue
+			case 1:
+				if running {
+					running = false
+					m.Ended(now, "killed")
+				}
+				continue
+			}
+			a, _ := m.Next(now)
+			switch a.Do {
+			case Start:
+				m.Starting("mark", m.Want.Digest)
+				if rapid.IntRange(0, 5).Draw(t, "fails") == 0 {
+					m.StartFailed(now, errors.New("no"))
+					continue
+				}
+				start()
+				m.Running(proc.Identity{PID: pid}, now)
+			case Term:
+				if !running || draining {
+					t.Fatalf("told to drain: runs %v, drains %v", running, draining)
+				}
+				draining = true
+			case Kill:
+				if !draining {
+					t.Fatal("killed without having been asked to drain")
+				}
+				running = false
+				m.Ended(now, "killed")
+			case Look:
+				if !running {
+					t.Fatal("looked at nothing")
+				}
+				if rapid.IntRange(0, 3).Draw(t, "deaf") == 0 {
+					m.Looked(now, nil, false, errors.New("time-out"))
+					continue
+				}
+				lastLook = "b" + string(rune('0'+boot%10)) + string(rune('0'+boot/10))
+				m.Looked(now, &control.State{Boot: lastLook, PID: pid, Started: m.Started, Applied: applied}, true, nil)
+			case Change:
+				if a.Command.Boot != lastLook || draining {
+					t.Fatalf("a command to %s, looked at %s", a.Command.Boot, lastLook)
+				}
+				if was, ok := ids[a.Command.ID]; ok && was != a.Command.Target {
+					t.Fatal("one id, two targets")
+				}
+				ids[a.Command.ID] = a.Command.Target
+				switch rapid.IntRange(0, 3).Draw(t, "answer") {
+				case 0:
+					m.Changed(now, a.Command.ID, nil, errors.New("lost"))
+				case 1: // taken, but the answer is lost
+					if a.Command.Base == applied {
+						applied = a.Command.Target
+					}
+					m.Changed(now, a.Command.ID, nil, errors.New("lost"))
+				default:
+					o := &control.Outcome{Code: control.Taken, Boot: a.Command.Boot}
+					if a.Command.Base == applied {
+						applied = a.Command.Target
+					} else if applied != a.Command.Target {
+						o.Code = control.OldBase
+					}
+					o.Applied = applied
+					m.Changed(now, a.Command.ID, o, nil)
+				}
+			}
+			if r := m.Report(now); r.Applied > applied || r.Boot != "" && !running || r.Proc == state.Running && !running {
+				t.Fatalf("reported %+v, applied %d, runs %v", r, applied, running)
+			}
+		}
+	})
+}
--- a/internal/fleet/state/bench_test.go
+++ b/internal/fleet/state/bench_test.go
@@ -56,7 +56,7 @@
 		for a := range agents {
 			name := fmt.Sprintf("a%04d", a)
 			if round == 0 {
-				put(s.Register(name, 1))
+				put(s.Register(name, 0, 1))
 			}
 			list, version := s.Assignments(name, have[a])
 			have[a] = version
--- a/internal/fleet/state/main_test.go
+++ /dev/null
@@ -1,9 +0,0 @@
-package state
-
-import (
-	"testing"
-
-	"poppyarch/internal/fixedseed"
-)
-
-func TestMain(m *testing.M) { fixedseed.Main(m) }
--- a/internal/fleet/state/property_test.go
+++ b/internal/fleet/state/property_test.go
@@ -135,7 +135,7 @@
 		return
 	}
 	if h.token == 0 {
-		r := w.s.Register(h.name, w.now)
+		r := w.s.Register(h.name, 0, w.now)
 		w.put(r)
 		h.token, h.seq, h.have, h.synced = r.Token, 0, 0, false
 	}
@@ -407,6 +407,18 @@
 					}
 				}
 			},
+			"a machine burns, and its agent is retired": func(t *rapid.T) {
+				h := pick()
+				if h.alive || w.s.agents[h.name] == nil || !w.s.agents[h.name].silent {
+					return
+				}
+				h.jobs, h.brokers = map[string]Assignment{}, map[string]*broker{} // nothing is left of it
+				r, err := w.s.Retire(w.command(), h.name, w.now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.put(r)
+			},
 			"the clock jumps": func(t *rapid.T) {
 				if rapid.Bool().Draw(t, "forward") {
 					w.now += 3600_000_000
--- a/internal/fleet/state/rollout.go
+++ b/internal/fleet/state/rollout.go
@@ -344,7 +344,7 @@
 		}
 		return
 	}
-	if m.failed != "" || m.wave != r.wave {
+	if m.failed != "" || m.wave > r.wave {
 		m.ok = ok
 		return
 	}
@@ -360,6 +360,12 @@
 		return
 	}
 	m.ok = ok
+	if m.wave < r.wave { // its wave is over; that it fails later counts all the same, see above
+		if ok {
+			delete(r.suspect, m.name)
+		}
+		return
+	}
 	if ok {
 		r.fine++
 		delete(r.wanting, m.name)
--- /dev/null
+++ b/internal/fleet/state/rollout_test.go
@@ -0,0 +1,123 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+
+	"poppyarch/internal/fixedseed"
+	"poppyarch/internal/fleet/spec"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
+
+// play has a fleet of n brokers at one agent, as tests of single rules want it.
+type play struct {
+	t    *testing.T
+	s    *State
+	now  int64
+	seq  uint64
+	tok  uint64
+	sick map[string]string // brokers that do not come up, and why; "" only that they do not
+}
+
+func newPlay(t *testing.T) *play {
+	p := &play{t: t, s: New(testLimits), now: 1, sick: map[string]string{}}
+	r := p.s.Register("a", 0, 1)
+	p.tok = r.Token
+	p.put(r)
+	return p
+}
+
+func (p *play) put(r *Record) {
+	p.t.Helper()
+	if err := p.s.Apply(r); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+func (p *play) apply(n, memory int, st Strategy) {
+	p.t.Helper()
+	text := "{}"
+	d := spec.ConfigDigest([]byte(text))
+	sp := &spec.Spec{Instances: map[string]*spec.Instance{}, Configs: map[string]string{d: text}}
+	for k := range n {
+		name := fmt.Sprint("n", k)
+		sp.Instances[name] = &spec.Instance{Name: name, Agent: "a", Enabled: true, Start: spec.Start{Config: d, Listen: fmt.Sprint("127.0.0.1:", 7000+k), MemoryMB: memory}}
+	}
+	r, _, err := p.s.Propose(&Command{ID: fmt.Sprint("c", p.now)}, sp, st, p.now)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.put(r)
+}
+
+// run goes on for so long: whatever is told is done at once, but by the sick.
+func (p *play) run(us int64) {
+	p.t.Helper()
+	for end := p.now + us; p.now < end; p.now += 100_000 {
+		for list := p.s.Step(p.now); len(list) > 0; list = p.s.Step(p.now) {
+			for _, r := range list {
+				p.put(r)
+			}
+		}
+		_, version := p.s.Assignments("a", 0)
+		var reports []Report
+		for name, i := range p.s.agents["a"].insts {
+			r := Report{Name: name, Proc: Running, Boot: "b-" + name + i.digest, Applied: p.s.target(i), Started: i.digest, Healthy: true}
+			if why, ok := p.sick[name]; ok {
+				r = Report{Name: name, Proc: Backoff, Error: "killed", Flapping: why == "flaps", Crashes: 3}
+			}
+			reports = append(reports, r)
+		}
+		p.seq++
+		if err := p.s.Observe("a", p.tok, p.seq, version, true, reports, p.now); err != nil {
+			p.t.Fatal(err)
+		}
+	}
+}
+
+// Half of a wave dies for good. Beyond the budget the rollout stops before the next wave and says which; within it, it goes on and
+// ends; and what was not released is left alone in the first case.
+func TestHalfOfAWaveDead(t *testing.T) {
+	for _, budget := range []int{1, 2} {
+		p := newPlay(t)
+		st := DefaultStrategy()
+		st.Canary, st.Batch, st.MaxUnavailable, st.Soak, st.Deadline = 0, Amount{N: 4}, Amount{N: 4}, 1_000_000, 10_000_000
+		p.apply(8, 64, st)
+		p.run(20_000_000)
+		if !p.s.Settled() {
+			t.Fatalf("never settled: %+v", p.s.Rollouts(1))
+		}
+		st.FailureBudget = Amount{N: budget}
+		p.apply(8, 96, st)
+		wave := Waves(p.s.changesFor(p.s.queue[0]), &st)[0]
+		p.sick[wave[1]], p.sick[wave[2]] = "", ""
+		p.run(60_000_000)
+		r := p.s.Rollouts(1)[0]
+		if len(r.Failed) != 2 || r.Failed[wave[1]] == "" || r.Failed[wave[2]] == "" {
+			t.Fatalf("budget %d: %+v", budget, r)
+		}
+		if budget == 1 && (r.Phase != Paused || r.Released != 4) || budget == 2 && (r.Phase != Done || r.Released != 8) {
+			t.Errorf("budget %d: %+v", budget, r)
+		}
+	}
+}
+
+// An instance of a wave that is over begins to flap while the next one goes: it counts against the budget as well.
+func TestLateFailureCounts(t *testing.T) {
+	p := newPlay(t)
+	st := DefaultStrategy()
+	st.Canary, st.Batch, st.MaxUnavailable, st.Soak, st.Deadline = 0, Amount{N: 1}, Amount{N: 4}, 2_000_000, 60_000_000
+	p.apply(4, 64, st)
+	p.run(30_000_000)
+	p.apply(4, 96, st)
+	first := Waves(p.s.changesFor(p.s.queue[0]), &st)[0][0]
+	for p.s.active == nil || p.s.active.wave < 1 {
+		p.run(100_000)
+	}
+	p.sick[first] = "flaps"
+	p.run(30_000_000)
+	if r := p.s.Rollouts(1)[0]; r.Phase != Paused || r.Failed[first] == "" || r.Released == 4 {
+		t.Errorf("%+v", r)
+	}
+}
--- a/internal/fleet/state/state.go
+++ b/internal/fleet/state/state.go
@@ -133,6 +133,10 @@
 		s.rev, s.nodes, s.nodesRev, s.nodesEd = r.Rev, r.Nodes, r.Rev, s.edition
 		s.remember(&Revision{Rev: r.Rev, At: r.At, By: r.By, Note: r.Note, Command: r.Command, Nodes: r.Nodes})
 		s.retarget()
+	case KindRetire:
+		if err := s.applyRetire(r); err != nil {
+			return err
+		}
 	case KindHandover, KindGone:
 		if len(r.Names) != 1 || s.inst[r.Names[0]] == nil {
 			return fmt.Errorf("record %s: no such instance %q", r.Kind, r.Names)
@@ -289,6 +293,13 @@
 	s.token = max(s.token, r.Token)
 	a := s.agent(r.Agent)
 	a.token, a.seq, a.synced, a.acked = r.Token, 0, false, 0
+	if r.Seen > 0 {
+		// Its brokers hold editions of a history that this one does not have. What they are told has to count as newer.
+		s.edition = max(s.edition, r.Seen) + 1
+		for _, i := range a.insts {
+			i.ed = s.edition
+		}
+	}
 	for n := range a.insts { // and it has to be told everything
 		a.assign(n)
 	}
@@ -316,9 +327,52 @@
 // Edition counts the records so far. It only rises as long as no history is lost.
 func (s *State) Edition() uint64 { return s.edition }
 
-// Register is the record that makes the caller the newest agent of that name.
-func (s *State) Register(name string, at int64) *Record {
-	return &Record{Kind: KindAgent, Agent: name, Token: s.token + 1, At: at}
+// Register is the record that makes the caller the newest agent of that name. seen is 0, or the highest edition that it
+// followed before it came to this fleet.
+func (s *State) Register(name string, seen uint64, at int64) *Record {
+	return &Record{Kind: KindAgent, Agent: name, Token: s.token + 1, Seen: seen, At: at}
+}
+
+// Retire is the record of an operator's word that an agent and its machine are gone for good: what it held and should not
+// hold is free. Its token ends with it; should it come back all the same, it has to register and is told to let go.
+func (s *State) Retire(c *Command, name string, at int64) (*Record, error) {
+	if err := s.open(c); err != nil {
+		return nil, err
+	}
+	a := s.agents[name]
+	if a == nil {
+		return nil, fmt.Errorf("agent %s: %w", name, ErrUnknown)
+	}
+	if !a.silent {
+		return nil, fmt.Errorf("%w: agent %s is heard of; only a silent one can be retired", ErrState, name)
+	}
+	return s.fill(&Record{Kind: KindRetire, Agent: name, Token: s.token + 1}, c, at), nil
+}
+
+// applyRetire frees what a retired agent held and should not.
+func (s *State) applyRetire(r *Record) error {
+	a := s.agents[r.Agent]
+	if a == nil {
+		return fmt.Errorf("record retire: no agent %q", r.Agent)
+	}
+	s.token = max(s.token, r.Token)
+	a.token, a.synced = r.Token, false // nobody has this one
+	for _, name := range slices.Sorted(maps.Keys(a.insts)) {
+		i := a.insts[name]
+		switch {
+		case i.want == nil:
+			s.leave(i)
+			if m := i.member; m != nil {
+				s.note(m, true)
+			}
+			delete(s.inst, name)
+		case i.want.Agent != a.name:
+			s.leave(i)
+			s.join(i, i.want.Agent)
+			s.weigh(i)
+		}
+	}
+	return nil
 }
 
 // Check reports whether a token is an agent's newest.
@@ -571,6 +625,7 @@
 	Target uint64         `json:"target"`         // edition that its broker shall hold
 	Rev    uint64         `json:"rev"`            // revision that it is of
 	Drop   bool           `json:"drop,omitempty"` // it is another's: forget it once it has ended
+	Keep   bool           `json:"keep,omitempty"` // it will be this agent's, in its turn: leave it as it is
 }
 
 // Assignments lists what has changed for an agent since the version that it holds, and the version that this brings it
@@ -584,6 +639,13 @@
 		for _, i := range a.insts {
 			out = append(out, s.assignment(i))
 		}
+		// An agent that comes from another fleet, or whose manager has lost history, may run what this one wants but has not
+		// released yet. It is not to end that.
+		for n, i := range s.head {
+			if i.Agent == name && s.inst[n] == nil {
+				out = append(out, Assignment{Name: n, Keep: true})
+			}
+		}
 	} else {
 		for n, v := range a.changed {
 			if v <= have {
--- a/internal/fleet/state/types.go
+++ b/internal/fleet/state/types.go
@@ -165,6 +165,7 @@
 	KindPhase    Kind = "phase"    // it is now in Phase, for Reason
 	KindHandover Kind = "handover" // Names[0] is now the agent's that it is wanted at
 	KindGone     Kind = "gone"     // Names[0], not wanted any more, has ended
+	KindRetire   Kind = "retire"   // Agent will not come back: what it held is free
 )
 
 // Record is one fact that survives. Replaying a journal's records in order gives the state again.
@@ -189,6 +190,7 @@
 	Agent     string            `json:"agent,omitempty"`
 	Fleet     string            `json:"fleet,omitempty"`
 	Token     uint64            `json:"token,omitempty"`
+	Seen      uint64            `json:"seen,omitempty"` // edition that the agent's brokers may hold, of another fleet or of lost history
 }
 
 // Set is one instance of a revision; nil removes it.
--- a/internal/fleet/state/view.go
+++ b/internal/fleet/state/view.go
@@ -23,6 +23,25 @@
 	Seen      Report `json:"seen"`
 }
 
+// Proc words what the process does.
+func (s *Status) Proc() string {
+	if s.Seen.Proc == Unknown {
+		return "unknown"
+	}
+	return string(s.Seen.Proc)
+}
+
+// Holds words whether the broker holds what is wanted: current, old, or unknown.
+func (s *Status) Holds() string {
+	switch {
+	case s.Current:
+		return "current"
+	case s.Seen.Boot == "":
+		return "unknown"
+	}
+	return "old"
+}
+
 // why says in words why an instance is not as it should be.
 func (s *State) why(i *instance) string {
 	switch {
--- a/internal/fleet/supervisor/record.go
+++ b/internal/fleet/supervisor/record.go
@@ -72,11 +72,20 @@
 			m.Configs[d] = text
 		}
 		if r.Full { // what is not in the list is not this agent's
+			keep := map[string]bool{}
+			for _, a := range r.List {
+				keep[a.Name] = a.Keep
+			}
 			for name, c := range m.Cases {
-				c.Assignment = state.Assignment{Name: name, Drop: true}
+				if !keep[name] {
+					c.Assignment = state.Assignment{Name: name, Drop: true}
+				}
 			}
 		}
 		for _, a := range r.List {
+			if a.Keep {
+				continue
+			}
 			if c := m.Cases[a.Name]; c != nil {
 				c.Assignment = a
 			} else if !a.Drop {
--- a/internal/fleet/supervisor/supervisor.go
+++ b/internal/fleet/supervisor/supervisor.go
@@ -49,7 +49,7 @@
 
 // Manager is what an agent needs of its manager.
 type Manager interface {
-	Register(ctx context.Context, agent string) (api.Registration, error)
+	Register(ctx context.Context, agent string, seen uint64) (api.Registration, error)
 	Report(ctx context.Context, r *api.ReportCall) error
 	Assignments(ctx context.Context, a *api.AssignCall) (api.Assignments, error)
 	Config(ctx context.Context, digest string) (string, error)
--- a/internal/fleet/supervisor/supervisor_test.go
+++ b/internal/fleet/supervisor/supervisor_test.go
@@ -188,12 +188,12 @@
 	l.m = m
 }
 
-func (l *line) Register(_ context.Context, agent string) (r api.Registration, err error) {
+func (l *line) Register(_ context.Context, agent string, seen uint64) (r api.Registration, err error) {
 	m, err := l.get()
 	if err != nil {
 		return r, err
 	}
-	return m.Register(agent)
+	return m.Register(agent, seen)
 }
 
 func (l *line) Report(_ context.Context, r *api.ReportCall) error {
@@ -272,9 +272,14 @@
 
 // agent starts an agent on a journal. The returned function kills it; err gets how Run ended.
 func (r *rig) agent(fs journal.FS) (kill func(), err chan error) {
+	r.t.Helper()
+	return r.agentWith(fs, Options{Name: "a1"})
+}
+
+func (r *rig) agentWith(fs journal.FS, o Options) (kill func(), err chan error) {
 	r.t.Helper()
 	err = make(chan error, 1)
-	s, e := Open(fs, Options{Name: "a1"}, r.mach, r.mach, r.line, quiet)
+	s, e := Open(fs, o, r.mach, r.mach, r.line, quiet)
 	if e != nil {
 		err <- e
 		return func() {}, err
@@ -452,7 +457,7 @@
 		r.mach.mu.Unlock()
 		// The second has a disk of its own, and so knows nothing of the processes: it must not be able to run a
 		// second set beside them without the first one's word. It registers; the first one stands down.
-		reg, err := r.mgr.Register("a1")
+		reg, err := r.mgr.Register("a1", 0)
 		if err != nil || reg.Token < 2 {
 			t.Fatal(reg, err)
 		}
@@ -610,8 +615,81 @@
 		time.Sleep(time.Minute)
 		r.check("before a manager without history", sp)
 		kill()
-		if r.mach.starts["n0"] != 1 {
-			t.Errorf("n0 was started %d times", r.mach.starts["n0"])
+		// An operator says that the new one counts, after telling it what is wanted. No broker is ended or started for it, though
+		// only a canary is released at first, and each comes to hold what the new one says.
+		r.apply(sp)
+		kill, _ = r.agentWith(disk, Options{Name: "a1", NewFleet: true})
+		if !r.settled(2 * time.Minute) {
+			t.Fatal("never settled with the new fleet")
+		}
+		r.check("with the new fleet", sp)
+		kill()
+		for _, name := range []string{"n0", "n1", "n2"} {
+			if r.mach.starts[name] != 1 {
+				t.Errorf("%s was started %d times", name, r.mach.starts[name])
+			}
+		}
+	})
+}
+
+// A machine is gone for good. Its instance, wanted elsewhere, waits for it until an operator retires its agent; then it comes up
+// at the other. An agent that is heard of cannot be retired, and one that comes back after all is told to let go.
+func TestRetire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t)
+		defer r.close()
+		there := newMachine(t)
+		defer func() {
+			there.mu.Lock()
+			live := slices.Collect(maps.Values(there.live))
+			there.mu.Unlock()
+			for _, p := range live {
+				p.end()
+			}
+		}()
+		old := faultfs.New()
+		kill, _ := r.agent(old)
+		here := r.mach
+		r.mach = there
+		kill2, _ := r.agentWith(faultfs.New(), Options{Name: "a2"})
+		r.mach = here
+		defer func() { kill2() }()
+		r.apply(fleet(1, 64, ""))
+		if !r.settled(time.Minute) {
+			t.Fatal("never settled")
+		}
+		retire := func() error {
+			_, err := r.mgr.Retire(&api.RetireCall{Command: r.id(), Agent: "a1"})
+			return err
+		}
+		if err := retire(); !errors.Is(err, state.ErrState) {
+			t.Errorf("an agent that is heard of: %v", err)
+		}
+		kill()
+		moved := fleet(1, 64, "")
+		moved.Instances["n0"].Agent = "a2"
+		r.apply(moved)
+		time.Sleep(time.Minute)
+		if len(there.live) != 0 {
+			t.Fatal("it runs at both")
+		}
+		if err := retire(); err != nil {
+			t.Fatal(err)
 		}
+		time.Sleep(10 * time.Second)
+		there.mu.Lock()
+		p := there.find("n0")
+		there.mu.Unlock()
+		if p == nil {
+			t.Fatal("it never came up at the other")
+		}
+		kill, _ = r.agent(old) // back after all
+		time.Sleep(30 * time.Second)
+		here.mu.Lock()
+		defer here.mu.Unlock()
+		if len(here.live) != 0 {
+			t.Error("the old machine still runs it")
+		}
+		kill()
 	})
 }
--- a/internal/fleet/supervisor/sync.go
+++ b/internal/fleet/supervisor/sync.go
@@ -48,17 +48,31 @@
 	if err := s.inLoop(ctx, func() error { s.reg = api.Registration{}; return nil }); err != nil {
 		return err
 	}
-	reg, err := s.manager.Register(ctx, s.opt.Name)
+	reg, err := s.manager.Register(ctx, s.opt.Name, 0)
 	if err != nil {
 		return err
 	}
-	have := uint64(0)
+	have, seen := uint64(0), uint64(0)
 	if err := s.inLoop(ctx, func() error {
 		m := s.mem
-		if !s.opt.NewFleet && m.Fleet != "" && (m.Fleet != reg.Fleet || m.Edition > reg.Edition) {
-			return fmt.Errorf("%w: fleet %s at edition %d, this agent follows %s and has seen %d", ErrHistory, reg.Fleet, reg.Edition,
-				m.Fleet, m.Edition)
+		if m.Fleet != "" && (m.Fleet != reg.Fleet || m.Edition > reg.Edition) {
+			if !s.opt.NewFleet {
+				return fmt.Errorf("%w: fleet %s at edition %d, this agent follows %s and has seen %d", ErrHistory, reg.Fleet, reg.Edition,
+					m.Fleet, m.Edition)
+			}
+			seen = m.Edition
 		}
+		return nil
+	}); err != nil {
+		return err
+	}
+	if seen > 0 { // an operator has said that it counts: what it says from now on has to be newer than all that was
+		s.log.Warn("agent: following another fleet, or one that has lost history", "fleet", reg.Fleet, "seen", seen)
+		if reg, err = s.manager.Register(ctx, s.opt.Name, seen); err != nil {
+			return err
+		}
+	}
+	if err := s.inLoop(ctx, func() error {
 		s.reg, s.token, s.version = reg, reg.Token, 0
 		return nil
 	}); err != nil {
@@ -135,14 +149,14 @@
 		if s.reg.Epoch != reg.Epoch || s.reg.Token != reg.Token {
 			return nil
 		}
-		if a.Edition < s.mem.Edition && !s.opt.NewFleet {
+		if reg.Fleet == s.mem.Fleet && a.Edition < s.mem.Edition {
 			return fmt.Errorf("%w: edition %d after %d", ErrHistory, a.Edition, s.mem.Edition)
 		}
 		// What has ended here and is dropped once more has been heard of by the manager.
 		var forget []string
 		dropped := map[string]bool{}
 		for _, x := range a.List {
-			dropped[x.Name] = x.Drop
+			dropped[x.Name] = x.Drop && !x.Keep
 		}
 		for name, m := range s.minds {
 			drop, told := dropped[name]
