Node lists: several as one, nothing decided under the lock; guards that tests can miss have tests

Seen on a second reading, and by taking guards out one at a time to see whether a test fails: lists of several files were checked against each other by id only; a long list was read while discovery waited for the lock; nothing failed without the checks for half-read lists, late calls of agents, reports from before an assignment, and a new fleet's editions.

--- a/cmd/poppyarch/inventory.go
+++ b/cmd/poppyarch/inventory.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -14,28 +13,13 @@
 	"github.com/spf13/cobra"
 
 	"poppyarch/internal/control"
+	"poppyarch/internal/filewatch"
 	"poppyarch/internal/membership"
 	"poppyarch/internal/nodefile"
 )
 
 // nodeFiles reads lists from disk.
-var nodeFiles = nodefile.Files{Read: os.ReadFile, List: func(dir string) ([]string, error) {
-	entries, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, err
-	}
-	var out []string
-	for _, e := range entries {
-		switch strings.ToLower(filepath.Ext(e.Name())) {
-		case ".csv", ".yaml", ".yml":
-			if e.Name()[0] != '.' {
-				out = append(out, filepath.Join(dir, e.Name()))
-			}
-		}
-	}
-	sort.Strings(out)
-	return out, nil
-}}
+var nodeFiles = nodefile.Files{Read: os.ReadFile, List: filewatch.Lists}
 
 // inventoryCommand is `poppyarch inventory`.
 func inventoryCommand() *cobra.Command {
--- a/internal/filewatch/filewatch.go
+++ b/internal/filewatch/filewatch.go
@@ -7,12 +7,31 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/fsnotify/fsnotify"
 )
 
+// Lists names the lists in a folder, sorted: files ending in .csv, .yaml or .yml, but hidden ones, which editors and
+// tools write beside them.
+func Lists(dir string) (out []string, err error) {
+	entries, err := os.ReadDir(dir) // sorted by name
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		switch strings.ToLower(filepath.Ext(e.Name())) {
+		case ".csv", ".yaml", ".yml":
+			if e.Name()[0] != '.' {
+				out = append(out, filepath.Join(dir, e.Name()))
+			}
+		}
+	}
+	return out, nil
+}
+
 // Times are a watcher's waits.
 type Times struct {
 	Poll   time.Duration // between two looks without any sign: where the system gives none
--- a/internal/fleet/state/rollout_test.go
+++ b/internal/fleet/state/rollout_test.go
@@ -121,3 +121,65 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// A call that comes late, behind a newer one, changes nothing; and what was seen before an agent was told is no word on it.
+func TestLateAndEarlyReports(t *testing.T) {
+	p := newPlay(t)
+	st := DefaultStrategy()
+	st.Soak = 0
+	p.apply(1, 64, st)
+	p.run(5_000_000)
+	if !p.s.Settled() {
+		t.Fatal("never settled")
+	}
+	i := p.s.inst["n0"]
+	good := i.seen
+	old := good
+	old.Boot, old.Applied, old.Healthy = "b-old", 1, false
+	if err := p.s.Observe("a", p.tok, p.seq-1, p.s.agents["a"].version, true, []Report{old}, p.now); err != nil {
+		t.Fatal(err)
+	}
+	if i.seen != good || !p.s.current(i) {
+		t.Fatalf("an old call was believed: %+v", i.seen)
+	}
+	// It is told to stop, to run and to stop again before it has heard of any of it. It is stopped by chance when it calls, and may just be
+	// starting: only once it says that it works by the last word does being stopped mean that it is as wanted.
+	a := p.s.agents["a"]
+	have := a.version
+	for _, on := range []bool{false, true, false} {
+		want := *i.want
+		want.Enabled = on
+		r, _, err := p.s.Propose(&Command{ID: fmt.Sprint("x", p.s.rev)}, &spec.Spec{Instances: map[string]*spec.Instance{"n0": &want}}, st, p.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.put(r)
+		if p.s.active != nil {
+			r, err := p.s.Steer(&Command{ID: fmt.Sprint("y", p.s.rev)}, 0, Aborted, p.now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.put(r)
+		}
+		for k := 0; k < 2; k++ { // begin, and release
+			for _, r := range p.s.Step(p.now) {
+				p.put(r)
+			}
+		}
+	}
+	stopped := Report{Name: "n0", Proc: Stopped}
+	p.seq++
+	if err := p.s.Observe("a", p.tok, p.seq, have, true, []Report{stopped}, p.now); err != nil {
+		t.Fatal(err)
+	}
+	if p.s.current(i) || p.s.Settled() {
+		t.Error("stopped before it was told counts as stopped")
+	}
+	p.seq++
+	if err := p.s.Observe("a", p.tok, p.seq, a.version, true, []Report{stopped}, p.now); err != nil {
+		t.Fatal(err)
+	}
+	if !p.s.current(i) {
+		t.Errorf("stopped as told is not current: %s", p.s.why(i))
+	}
+}
--- a/internal/fleet/supervisor/supervisor_test.go
+++ b/internal/fleet/supervisor/supervisor_test.go
@@ -606,6 +606,19 @@
 		if !r.settled(time.Minute) {
 			t.Fatal("never settled")
 		}
+		// The old fleet has come far: its brokers hold editions that a new one will not reach by itself.
+		for k := range 80 {
+			ch := state.NodeChange{ID: "s-9"}
+			if k%2 == 0 {
+				ch.To = &spec.Node{ID: "s-9", State: spec.NodeDrain}
+			}
+			if _, err := r.mgr.Nodes(&api.NodesCall{Command: r.id(), Changes: []state.NodeChange{ch}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !r.settled(time.Minute) {
+			t.Fatal("never settled")
+		}
 		// Another manager, with an empty journal, at the same address.
 		r.line.set(nil)
 		r.stop()
--- a/internal/nodefile/nodefile.go
+++ b/internal/nodefile/nodefile.go
@@ -98,18 +98,23 @@
 // Keys that a row may have.
 var known = []string{"addr", "objects", "shard", "zone", "state", "kind", "cores", "speed", "labels"}
 
-// ReadFile hands out a file's text; List names the inventory files of a folder. So that the package does no I/O of its own.
+// Files hands out what lists are made of, so that the package does no I/O of its own.
 type Files struct {
-	Read func(path string) ([]byte, error)
+	Read func(path string) ([]byte, error)  // a file's text
 	List func(dir string) ([]string, error) // files ending in .csv, .yaml or .yml, sorted; nil: folders cannot be read
 }
 
 // Load reads a file, or all of a folder in the order of their names. The first claim counts where two contradict each
 // other.
-func Load(path string, f Files) *Doc {
+func Load(path string, f Files) *Doc { return LoadAll([]string{path}, f) }
+
+// LoadAll reads several as if they were one.
+func LoadAll(paths []string, f Files) *Doc {
 	d := &Doc{Whole: true}
 	b := &builder{doc: d, files: f, kinds: map[string]Kind{}, seen: map[string]bool{}}
-	b.load(path, Pos{File: path})
+	for _, path := range paths {
+		b.load(path, Pos{File: path})
+	}
 	b.check()
 	sort.SliceStable(d.Faults, func(x, y int) bool {
 		a, c := d.Faults[x], d.Faults[y]
--- a/internal/serve/nodes.go
+++ b/internal/serve/nodes.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -29,16 +28,22 @@
 		return nil, nil
 	}
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	l.fromDiscovery(known, true)
+	l.mu.Unlock()
 	var files *nodeFiles
 	if cfg.Nodes != nil {
 		files = &nodeFiles{l: l, paths: cfg.Nodes.Files, log: l.log, good: map[string]membership.Entry{}}
-		if !files.read(true) && cfg.Nodes.Mode == "limit" {
-			l.log.Error("nodes: no list can be read, and only what a list has is used", "files", cfg.Nodes.Files)
+		doc, _ := files.load(func() bool { return true })
+		if _, whole := files.take(doc, true); !whole && cfg.Nodes.Mode == "limit" {
+			l.log.Error("nodes: a list cannot be read, and only what a list has is used", "files", cfg.Nodes.Files)
 		}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.all.Begun()
+	if l.part != nil { // told by pieces so far: all of it at once
+		l.part = routing.NewSubset(cfg.Name, cfg.Nodes.Subset)
+	}
 	l.pass(l.merged(l.all.Members()), true)
 	return files, nil
 }
@@ -202,6 +207,19 @@
 	told  string          // the guard's reason that was logged last
 }
 
+// entry is a row in the membership's form.
+func (f *nodeFiles) entry(r *nodefile.Row) membership.Entry {
+	e := membership.Entry{ID: r.ID, Addr: r.Addr, Objects: r.Objects, Shard: r.Shard, Zone: f.l.zoneOf(r.Zone), Kind: r.Kind, Capacity: r.Capacity,
+		Where: r.Pos.String()}
+	switch r.State {
+	case "draining":
+		e.State = membership.Draining
+	case "out":
+		e.State = membership.Out
+	}
+	return e
+}
+
 // quick reads a single CSV list that stands still and of which some rows have changed, and nothing else. It reports false
 // where that is not so; then nothing has been taken in.
 func (f *nodeFiles) quick(settled func() bool) (changed []membership.Member, ok bool) {
@@ -222,124 +240,94 @@
 		f.good[e.ID] = e
 		entries = append(entries, e)
 	}
-	f.l.said[membership.Files]++
-	return f.l.all.Change(membership.Files, f.l.said[membership.Files], entries, nil, f.l.time.Now()), true
+	return f.tell(func(version, now int64) []membership.Member {
+		return f.l.all.Change(membership.Files, version, entries, nil, now)
+	}), true
 }
 
-// entry is a row in the membership's form.
-func (f *nodeFiles) entry(r *nodefile.Row) membership.Entry {
-	e := membership.Entry{ID: r.ID, Addr: r.Addr, Objects: r.Objects, Shard: r.Shard, Zone: f.l.zoneOf(r.Zone), Kind: r.Kind, Capacity: r.Capacity,
-		Where: r.Pos.String()}
-	switch r.State {
-	case "draining":
-		e.State = membership.Draining
-	case "out":
-		e.State = membership.Out
+// tell hands the lists' word to the membership and what changes by it to the table and the module. Only this is done under the
+// lock: a long list is not read while discovery waits.
+func (f *nodeFiles) tell(say func(version, now int64) []membership.Member) []membership.Member {
+	l := f.l
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.said[membership.Files]++
+	changed := say(l.said[membership.Files], l.time.Now())
+	if len(changed) > 0 && l.facade != nil {
+		l.pass(l.merged(changed), false)
 	}
-	return e
+	if _, why := l.all.Held(membership.Files); why != f.told {
+		f.told = why
+		if why != "" {
+			f.log.Error("nodes: " + why)
+		}
+	}
+	return changed
 }
 
 // load reads all lists. settle is asked after the texts are in memory and before they are taken apart: whether they stood
 // still meanwhile.
-func (f *nodeFiles) load(settle func() bool) (docs []*nodefile.Doc, settled bool) {
+func (f *nodeFiles) load(settle func() bool) (doc *nodefile.Doc, settled bool) {
 	texts := map[string][]byte{}
 	errs := map[string]error{}
 	f.seen = slices.Clone(f.paths)
-	read := func(path string) ([]byte, error) {
-		if b, ok := texts[path]; ok {
-			return b, nil
-		}
-		if err, ok := errs[path]; ok {
-			return nil, err
-		}
-		f.seen = append(f.seen, path)
-		b, err := os.ReadFile(path)
-		if err != nil {
-			errs[path] = err
-			return nil, err
-		}
-		texts[path] = b
-		return b, nil
-	}
-	list := func(dir string) ([]string, error) {
-		f.seen = append(f.seen, dir)
-		entries, err := os.ReadDir(dir)
-		if err != nil {
-			return nil, err
-		}
-		var out []string
-		for _, e := range entries {
-			switch strings.ToLower(filepath.Ext(e.Name())) {
-			case ".csv", ".yaml", ".yml":
-				if e.Name()[0] != '.' {
-					out = append(out, filepath.Join(dir, e.Name()))
+	disk := nodefile.Files{
+		Read: func(path string) ([]byte, error) {
+			if err, ok := errs[path]; ok {
+				return nil, err
+			}
+			b, ok := texts[path]
+			if !ok {
+				f.seen = append(f.seen, path)
+				var err error
+				if b, err = os.ReadFile(path); err != nil {
+					errs[path] = err
+					return nil, err
 				}
+				texts[path] = b
 			}
-		}
-		sort.Strings(out)
-		return out, nil
-	}
-	first := nodefile.Files{Read: read, List: list}
-	for _, p := range f.paths {
-		docs = append(docs, nodefile.Load(p, first))
+			return b, nil
+		},
+		List: func(dir string) ([]string, error) {
+			f.seen = append(f.seen, dir)
+			return filewatch.Lists(dir)
+		},
 	}
+	doc = nodefile.LoadAll(f.paths, disk)
 	if settle() {
-		return docs, true
+		return doc, true
 	}
 	// It was being written: what stands behind the last whole line may be half a row.
-	docs = docs[:0]
-	for _, p := range f.paths {
-		docs = append(docs, nodefile.Load(p, nodefile.Files{List: list, Read: func(path string) ([]byte, error) {
-			b, err := read(path)
-			if strings.EqualFold(filepath.Ext(path), ".csv") {
-				b = b[:strings.LastIndexByte(string(b), '\n')+1]
-			}
-			return b, err
-		}}))
-	}
-	return docs, false
-}
-
-// read reads the lists at the start. The caller holds the live's mu.
-func (f *nodeFiles) read(settled bool) bool {
-	docs, _ := f.load(func() bool { return settled })
-	_, ok := f.take(docs, settled)
-	return ok
+	return nodefile.LoadAll(f.paths, nodefile.Files{List: disk.List, Read: func(path string) ([]byte, error) {
+		b, err := disk.Read(path)
+		if strings.EqualFold(filepath.Ext(path), ".csv") {
+			b = b[:strings.LastIndexByte(string(b), '\n')+1]
+		}
+		return b, err
+	}}), false
 }
 
 // take hands the lists to the membership. A row that is faulty now keeps its last good content; a list that cannot be read at
 // all, or was being written, takes nothing away. It reports whether all could be read.
-func (f *nodeFiles) take(docs []*nodefile.Doc, settled bool) (changed []membership.Member, whole bool) {
-	whole = true
-	next := map[string]membership.Entry{}
-	faults := 0
-	for _, d := range docs {
-		whole = whole && d.Whole
-		for i := range d.Rows {
-			r := &d.Rows[i]
-			if _, twice := next[r.ID]; twice {
-				f.log.Warn("nodes: given in two lists, the first counts", "node", r.ID, "at", r.Pos.String())
-				continue
-			}
-			next[r.ID] = f.entry(r)
+func (f *nodeFiles) take(d *nodefile.Doc, settled bool) (changed []membership.Member, whole bool) {
+	next := make(map[string]membership.Entry, len(d.Rows))
+	for i := range d.Rows {
+		next[d.Rows[i].ID] = f.entry(&d.Rows[i])
+	}
+	for n, x := range d.Faults {
+		if n < 20 {
+			f.log.Warn("nodes: "+map[bool]string{true: "doubtful row", false: "faulty row, the rest is used"}[x.Warn], "at", x.Pos.String(), "key", x.Key, "what", x.Text)
 		}
-	}
-	for _, d := range docs {
-		for _, x := range d.Faults {
-			if faults++; faults <= 20 {
-				f.log.Warn("nodes: "+map[bool]string{true: "doubtful row", false: "faulty row, the rest is used"}[x.Warn], "at", x.Pos.String(), "key", x.Key, "what", x.Text)
-			}
-			if old, ok := f.good[x.Node]; ok && x.Node != "" && !x.Warn {
-				if _, there := next[x.Node]; !there {
-					next[x.Node] = old
-				}
+		if old, ok := f.good[x.Node]; ok && x.Node != "" && !x.Warn {
+			if _, there := next[x.Node]; !there {
+				next[x.Node] = old
 			}
 		}
 	}
-	if faults > 20 {
-		f.log.Warn("nodes: more faulty rows", "count", faults-20)
+	if n := len(d.Faults) - 20; n > 0 {
+		f.log.Warn("nodes: more faulty rows", "count", n)
 	}
-	if !whole || !settled {
+	if !d.Whole || !settled {
 		for id, old := range f.good {
 			if _, ok := next[id]; !ok {
 				next[id] = old
@@ -351,15 +339,9 @@
 		entries = append(entries, e)
 	}
 	f.good = next
-	f.l.said[membership.Files]++
-	changed = f.l.all.Tell(membership.Files, f.l.said[membership.Files], entries, f.l.time.Now())
-	if _, why := f.l.all.Held(membership.Files); why != f.told {
-		f.told = why
-		if why != "" {
-			f.log.Error("nodes: " + why)
-		}
-	}
-	return changed, whole
+	return f.tell(func(version, now int64) []membership.Member {
+		return f.l.all.Tell(membership.Files, version, entries, now)
+	}), d.Whole
 }
 
 // run follows the files until ctx is done.
@@ -378,21 +360,14 @@
 			return
 		}
 		still := func() bool { return c.Settled && w.Same() }
-		f.l.mu.Lock()
 		changed, ok := f.quick(still)
 		settled, whole := true, true
 		if !ok {
-			f.l.mu.Unlock() // a long list is not read while discovery waits
-			var docs []*nodefile.Doc
-			docs, settled = f.load(still)
-			f.l.mu.Lock()
-			changed, whole = f.take(docs, settled)
+			var doc *nodefile.Doc
+			doc, settled = f.load(still)
+			changed, whole = f.take(doc, settled)
 		}
 		unsettled = !settled
-		if len(changed) > 0 {
-			f.l.pass(f.l.merged(changed), false)
-		}
-		f.l.mu.Unlock()
 		w.Watch(f.seen)
 		if len(changed) > 0 || !whole {
 			f.log.Info("nodes: lists read", "rows", len(f.good), "changed", len(changed), "settled", settled, "whole", whole,
