Kinds are the module's prior for a node; new objects prefer the host's own room

The module takes a member's capacity against the usual node as what to expect of its depth and stay until they are measured, and falls back to it; a host that is told its zone sends new objects there unless a node elsewhere is better by a given time.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -78,6 +79,8 @@
 	Guard    *float64 `json:"guard"`     // omissions of more than this share at once are held back; 0: none; default 0.2
 	GuardMin int      `json:"guard_min"` // but never fewer than so many; default 3
 	HoldMS   int64    `json:"hold_ms"`   // for so long; default 600000
+	Zone     string   `json:"zone"`      // the broker's own; new objects go to nodes there unless others are better by far_ms
+	FarMS    int64    `json:"far_ms"`    // default 50
 	Subset   int      `json:"subset"`    // of a shard's nodes, only so many are used by this broker; 0: all
 	Suppress *float64 `json:"suppress"`  // penalty above which a node that comes back stays out; 0: never; default 3
 }
@@ -118,6 +121,8 @@
 		return fmt.Errorf("guard: %v is not 0 to 1", *n.Guard)
 	case n.GuardMin < 0:
 		return fmt.Errorf("guard_min: %d is negative", n.GuardMin)
+	case n.FarMS < 0:
+		return fmt.Errorf("far_ms: %d is negative", n.FarMS)
 	case n.Subset < 0:
 		return fmt.Errorf("subset: %d is negative", n.Subset)
 	case n.HoldMS < 0:
@@ -357,10 +362,16 @@
 			return nil, fmt.Errorf("control.listen: %w", err)
 		}
 	}
-	if c.Nodes != nil {
-		if err := c.Nodes.check(); err != nil {
+	if n := c.Nodes; n != nil {
+		if err := n.check(); err != nil {
 			return nil, fmt.Errorf("nodes.%w", err)
 		}
+		if n.Zone != "" {
+			if c.Policy.Home = slices.Index(c.Zones, n.Zone) + 1; c.Policy.Home == 0 {
+				return nil, fmt.Errorf("nodes.zone: %q is none of settings.zones", n.Zone)
+			}
+			c.Policy.Far = time.Duration(cmp.Or(n.FarMS, 50)) * time.Millisecond
+		}
 	}
 	if c.Record != nil {
 		if err := c.Record.check(); err != nil {
--- a/internal/core/nodes.go
+++ b/internal/core/nodes.go
@@ -15,6 +15,8 @@
 	Zone    int
 	State   policy.NodeState
 	Started int64 // microseconds; 0: long ago
+
+	Capacity float64 // of its kind, against the usual node; 0: not told
 }
 
 // Nodes is the node list as discovery told it last. What left the list is forgotten: an attempt that the module decided
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -79,7 +79,7 @@
 	out := make([]policy.Member, 0, len(nodes))
 	for _, n := range nodes {
 		out = append(out, policy.Member{Node: n.ID, Shard: n.Shard, Zone: n.Zone, State: n.State,
-			StartedAt: clock.Duration(n.Started)})
+			StartedAt: clock.Duration(n.Started), Capacity: n.Capacity})
 	}
 	return out
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -433,6 +433,21 @@
 	return out
 }
 
+// Usual is the middle capacity of the nodes in use whose kind is told; 0: of none is it told.
+func (s *Set) Usual() float64 {
+	var all []float64
+	for _, n := range s.nodes {
+		if n.shown && n.member.Capacity > 0 {
+			all = append(all, n.member.Capacity)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
 // Get returns a node in use.
 func (s *Set) Get(id string) (Member, bool) {
 	if n := s.nodes[id]; n != nil && n.shown {
--- a/internal/serve/nodes.go
+++ b/internal/serve/nodes.go
@@ -97,8 +97,15 @@
 	if l.part != nil {
 		list = l.subset(list)
 	}
+	usual := 0.0
+	if slices.ContainsFunc(list, func(m membership.Member) bool { return m.Capacity > 0 }) {
+		usual = l.all.Usual()
+	}
 	for _, m := range list {
 		n := core.Node{ID: m.ID, Addr: m.Addr, Objects: m.Objects, Shard: m.Shard, Zone: m.Zone, Started: m.Started}
+		if usual > 0 { // what a kind can do counts against the others
+			n.Capacity = m.Capacity / usual
+		}
 		switch m.State {
 		case membership.Draining:
 			n.State = policy.Draining
--- a/policy/api.go
+++ b/policy/api.go
@@ -65,6 +65,8 @@
 	BudgetFree, BudgetShare         float64
 	BudgetWindow                    time.Duration
 	MeanUnits, MaxUnits, ShareWorth float64
+	Home                            int           // zone of this host, from 1; 0: new objects go anywhere alike
+	Far                             time.Duration // what a node in another zone has to be better by, for new objects
 }
 
 // check reports the first setting that cannot be, by its name and value.
@@ -104,7 +106,7 @@
 	bad = append(bad, negative("hosts", float64(c.Hosts)), negative("max attempts", float64(c.MaxAttempts)),
 		negative("warm", c.Warm.Seconds()), negative("tip window", c.TipWindow.Seconds()),
 		negative("key quiet", c.KeyQuiet.Seconds()), negative("budget window", c.BudgetWindow.Seconds()),
-		negative("ask within", c.AskWithin.Seconds()))
+		negative("ask within", c.AskWithin.Seconds()), negative("home", float64(c.Home)), negative("far", c.Far.Seconds()))
 	for _, err := range bad {
 		if err != nil {
 			return err
@@ -130,6 +132,7 @@
 	Zone      int
 	State     NodeState
 	StartedAt time.Duration // 0: long ago
+	Capacity  float64       // of its kind, against the usual node; 0: not told
 }
 
 // Outcome tells how an attempt ended.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -639,8 +639,12 @@
 		return
 	}
 	part := period.Seconds() / nodeAge.Seconds()
-	if n.depth >= 1 || s.all.lat > n.lat {
-		n.lat += part * (s.all.lat - n.lat)
+	usual := s.all.lat
+	if n.Capacity > 0 {
+		usual /= n.Capacity
+	}
+	if n.depth >= 1 || usual > n.lat {
+		n.lat += part * (usual - n.lat)
 	}
 	if d := s.all.depth; d < n.depth && d < 1 {
 		n.depth += part * (d - n.depth)
@@ -872,6 +876,9 @@
 		if _, cold := s.coldSince(n); cold {
 			c += 5
 		}
+		if s.cfg.Home > 0 && n.Zone+1 != s.cfg.Home {
+			c += s.cfg.Far.Seconds()
+		}
 		c += errorCost * n.errors * n.aim // one that fails fast would draw all new objects
 		c *= 1 + 0.2*s.rng.Float64()
 		if c < cost || best == nil {
@@ -942,6 +949,9 @@
 		if n == nil {
 			n = &node{byVol: map[*volume]*flow{}, aim: s.cfg.Classes[0].Aim.Seconds()}
 			n.depth = firstDepth
+			if m.Capacity > 0 { // what its kind lets expect, until it is measured
+				n.depth, n.lat = min(maxDepth, firstDepth*m.Capacity), s.all.lat/m.Capacity
+			}
 			s.nodes[m.Node], s.list = n, append(s.list, n)
 		} else if m.StartedAt > n.StartedAt {
 			n.depth = 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -604,3 +604,56 @@
 		t.Fatalf("out %d, attempts %d, want 1 and 2", q.out, q.attempts)
 	}
 }
+
+// A kind's capacity is what is expected of a node until it is measured: new objects go to the stronger kind more often, and its first depth is
+// larger.
+func TestKindIsThePrior(t *testing.T) {
+	share := func(capacity float64) float64 {
+		cfg := testConfig()
+		r := newRig(t, cfg)
+		r.after(0, Event{Kind: ListFull, Members: []Member{{Node: "a", Shard: 0}}})
+		for id := uint64(1); id < 40; id++ { // some stays are known of the usual node
+			for _, x := range r.after(50*ms, r.arrive(id, 0, 0, "v", "", 1)) {
+				if x.Kind == Send {
+					r.after(50*ms, Event{Kind: Answered, ID: x.ID, Node: x.Node, Final: true})
+				}
+			}
+		}
+		r.after(0, Event{Kind: ListFull, Members: []Member{{Node: "b", Shard: 1, Capacity: capacity}, {Node: "c", Shard: 2, Capacity: 1}}})
+		strong := 0
+		for range 200 {
+			if r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}).Node == "b" {
+				strong++
+			}
+		}
+		if b, c := r.s.nodes["b"].depth, r.s.nodes["c"].depth; (b > c) != (capacity > 1) {
+			t.Errorf("capacity %v: depths %v and %v", capacity, b, c)
+		}
+		return float64(strong) / 200
+	}
+	strong, weak := share(4), share(0.25)
+	if strong < weak+0.3 {
+		t.Errorf("a strong kind gets %v of new objects, a weak one %v", strong, weak)
+	}
+}
+
+// New objects stay in the host's own zone unless a node elsewhere is better by the given time; objects that lie somewhere are
+// read there all the same.
+func TestNewObjectsStayInTheRoom(t *testing.T) {
+	cfg := testConfig()
+	cfg.Home, cfg.Far = 2, 50*ms
+	r := newRig(t, cfg)
+	r.after(0, Event{Kind: ListFull, Members: []Member{{Node: "near", Shard: 0, Zone: 1}, {Node: "far", Shard: 1, Zone: 0}}})
+	for range 50 {
+		if n := r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}); n.Node != "near" {
+			t.Fatalf("a new object goes to %s", n.Node)
+		}
+	}
+	if n := r.s.pick(&request{a: Arrival{Shard: 1, Units: 1}}); n.Node != "far" {
+		t.Errorf("an object on shard 1 is sought at %s", n.Node)
+	}
+	r.s.nodes["near"].lat = 0.2
+	if n := r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}); n.Node != "far" {
+		t.Errorf("a new object waits at %s", n.Node)
+	}
+}
