--- a/cmd/poppyarch/incident.go
+++ b/cmd/poppyarch/incident.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"poppyarch/internal/control"
 	"poppyarch/internal/incident"
 	"poppyarch/internal/incident/collect"
 	"poppyarch/internal/incident/report"
@@ -17,7 +19,7 @@
 
 // incidentFlags are what all incident commands have.
 type incidentFlags struct {
-	dirs           []string
+	dirs, rings    []string
 	from, to       string
 	ended          bool
 	slow, surge    float64
@@ -34,6 +36,7 @@
 	}
 	p := c.PersistentFlags()
 	p.StringArrayVarP(&f.dirs, "records", "r", nil, "a folder of segments, or one segment; several may be given")
+	p.StringArrayVar(&f.rings, "ring", nil, "unix:PATH or HOST:PORT of the control endpoint of a broker that records in memory; several may be given")
 	p.StringVar(&f.from, "from", "", "only what touches the time from here: RFC 3339, or HH:MM:SS of the records' day, UTC")
 	p.StringVar(&f.to, "to", "", "and to here")
 	p.BoolVar(&f.ended, "ended", false, "brokers without a last word are dead, however fresh their records are")
@@ -158,18 +161,27 @@
 
 // read collects and analyses.
 func (f *incidentFlags) read(warn io.Writer) (*incident.Analysis, error) {
-	if len(f.dirs) == 0 {
-		return nil, &exit{exitUsage, errors.New("--records: no folder given")}
+	if len(f.dirs)+len(f.rings) == 0 {
+		return nil, &exit{exitUsage, errors.New("--records or --ring: nothing to read is given")}
 	}
 	streams, found, err := collect.Read(f.dirs...)
 	if err != nil {
 		return nil, &exit{exitUsage, err}
 	}
+	for _, addr := range f.rings {
+		s, err := ring(addr)
+		if err != nil {
+			fmt.Fprintf(warn, "records: %s: %v\n", addr, err) // a broker that is down is no reason to read none
+			continue
+		}
+		streams = append(streams, s)
+		found.Frames++
+	}
 	for _, x := range found.Faults {
 		fmt.Fprintln(warn, "records:", x)
 	}
 	if found.Frames == 0 {
-		return nil, &exit{exitUsage, fmt.Errorf("%v: no records", f.dirs)}
+		return nil, &exit{exitUsage, fmt.Errorf("%v: no records", append(f.dirs, f.rings...))}
 	}
 	o := incident.DefaultOptions()
 	o.Slow, o.Surge, o.Notice, o.Wall = f.slow, f.surge, f.notice.Microseconds(), f.clocks.Microseconds()
@@ -195,6 +207,21 @@
 	return a, nil
 }
 
+// ring reads a broker's records from its memory.
+func ring(addr string) (*incident.Stream, error) {
+	cl, err := control.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	b, err := cl.Records(ctx, 1<<30)
+	if err != nil {
+		return nil, err
+	}
+	return collect.Bytes(b)
+}
+
 // moment reads RFC 3339, or a time of the day on which the records begin.
 func moment(text string, day int64) (int64, error) {
 	if t, err := time.Parse(time.RFC3339Nano, text); err == nil {
--- a/cmd/poppyarch/incident_test.go
+++ b/cmd/poppyarch/incident_test.go
@@ -22,7 +22,9 @@
 // emulated worlds.
 func TestScriptedIncidentOverRealBrokers(t *testing.T) {
 	dir := t.TempDir()
-	s, err := stack.New(stack.Options{Dir: dir, Program: os.Args[0], Env: []string{"POPPYARCH_TEST_MAIN=1"}, Nodes: 4, Blocks: 3, Objects: 2, Agents: 1,
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
+	defer cancel()
+	s, err := stack.Up(ctx, stack.Options{Dir: dir, Program: os.Args[0], Env: []string{"POPPYARCH_TEST_MAIN=1"}, Nodes: 4, Blocks: 3, Objects: 2, Agents: 1,
 		Soak: 50 * time.Millisecond, Aim: time.Second, Record: true})
 	if err != nil {
 		t.Fatal(err)
@@ -33,17 +35,6 @@
 			s.Close()
 		}
 	}()
-	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Minute)
-	defer cancel()
-	if err := s.Start(ctx); err != nil {
-		t.Fatal(err)
-	}
-	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
-		t.Fatal(err)
-	}
-	if out, err := s.Run("apply", "--wait"); err != nil {
-		t.Fatalf("%v\n%s", err, out)
-	}
 	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 4, Clients: 4,
 		Pause: 20 * time.Millisecond, Patience: 3 * time.Second}
 	truths, gaps, err := s.Play(ctx, load, 700*time.Millisecond, func(string) {})
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -339,6 +339,27 @@
 	return c.call(ctx, http.MethodGet, path, nil, out)
 }
 
+// Records fetches what a broker without a folder keeps in memory, in the form of a segment. It is read within most bytes.
+func (c *Client) Records(ctx context.Context, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+"records", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("control: status %d: the broker keeps no records in memory", resp.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, most+1))
+	if err == nil && int64(len(b)) > most {
+		err = fmt.Errorf("control: more than %d bytes of records", most)
+	}
+	return b, err
+}
+
 // Accept has the broker believe the omissions that its guard holds back.
 func (c *Client) Accept(ctx context.Context) (changed int, err error) {
 	var out struct{ Changed int }
--- a/internal/incident/analyse.go
+++ b/internal/incident/analyse.go
@@ -37,7 +37,7 @@
 	BrokerDrain   Kind = "broker drains"
 	NodeSilent    Kind = "node silent"
 	NodeDown      Kind = "node down" // refuses or resets connections
-	NodeRestart   Kind = "node restarted"
+	NodeCold      Kind = "node cold" // it has restarted, and is not yet as quick as usual
 	NodeSlow      Kind = "node slow"
 	NodeDrain     Kind = "node drains"
 	VolumeSurge   Kind = "surge"
@@ -211,7 +211,7 @@
 		if k+1 < j {
 			next = v.s[k+1].begin() + v.clocks[k+1].Offset
 		}
-		period := max(s.Boot.Beat, 1)
+		period := s.period()
 		switch {
 		case next <= end && k+1 < j: // two boots under one name at once, or a clock that was set back
 			spans = append(spans, Span{Broker: name, Boot: s.ID, State: Known, From: next, To: end,
@@ -489,32 +489,40 @@
 	return out
 }
 
-// slow finds seconds in which a node's median was far above its own usual one.
-func (v *view) slow() {
-	for _, name := range v.a.Nodes {
-		bySec := map[int64]*sketch.Sketch{}
-		for i, s := range v.s {
-			if n := s.nodes[name]; n != nil {
-				for sec, k := range n.latency {
-					at := slot(sec + v.clocks[i].Offset)
-					if bySec[at] == nil {
-						bySec[at] = &sketch.Sketch{}
-					}
-					bySec[at].Merge(k)
+// medians are a node's answers by seconds, over all brokers, and the middle of the seconds' medians; 0: too little is known.
+func (v *view) medians(name string) (bySec map[int64]*sketch.Sketch, usual int64) {
+	bySec = map[int64]*sketch.Sketch{}
+	for i, s := range v.s {
+		if n := s.nodes[name]; n != nil {
+			for sec, k := range n.latency {
+				at := slot(sec + v.clocks[i].Offset)
+				if bySec[at] == nil {
+					bySec[at] = &sketch.Sketch{}
 				}
+				bySec[at].Merge(k)
 			}
 		}
-		var medians []int64
-		for _, k := range bySec {
-			if k.Count() >= 5 {
-				medians = append(medians, k.Quantile(0.5))
-			}
+	}
+	var medians []int64
+	for _, k := range bySec {
+		if k.Count() >= 5 {
+			medians = append(medians, k.Quantile(0.5))
 		}
-		if len(medians) < 10 {
+	}
+	if len(medians) < 10 {
+		return bySec, 0
+	}
+	slices.Sort(medians)
+	return bySec, max(medians[len(medians)/2], 500)
+}
+
+// slow finds seconds in which a node's median was far above its own usual one.
+func (v *view) slow() {
+	for _, name := range v.a.Nodes {
+		bySec, usual := v.medians(name)
+		if usual == 0 {
 			continue
 		}
-		slices.Sort(medians)
-		usual := max(medians[len(medians)/2], 500)
 		var slots []int64
 		worst := int64(0)
 		for at, k := range bySec {
@@ -689,7 +697,8 @@
 	}
 }
 
-// restarts joins signs that a node's process is another than before.
+// restarts joins signs that a node's process is another than before. It is cold until a second in which its median is no more
+// than half above its usual one.
 func (v *view) restarts(all []at) {
 	last := map[string]int64{}
 	for _, n := range all {
@@ -708,7 +717,20 @@
 				b.Lo = max(b.Lo, w.answers[i])
 			}
 		}
-		v.add(Episode{Kind: NodeRestart, Subject: n.subject, Begin: b, End: Bound{b.Lo, b.Hi}, Evidence: []string{n.broker + ": " + n.text}})
+		e := Episode{Kind: NodeCold, Subject: n.subject, Begin: b, End: Bound{n.at, v.a.To}, Open: true, Evidence: []string{n.broker + ": " + n.text}}
+		bySec, usual := v.medians(n.subject)
+		for _, sec := range slices.Sorted(maps.Keys(bySec)) {
+			k := bySec[sec]
+			if sec <= n.at || k.Count() < 3 {
+				continue
+			}
+			if float64(k.Quantile(0.5)) <= 1.5*float64(usual) {
+				e.End, e.Open = Bound{max(sec-second, n.at), sec + second}, false
+				e.Evidence = append(e.Evidence, fmt.Sprintf("as quick as usual (%d ms) in the second from %s", usual/1000, Clockface(sec)))
+				break
+			}
+		}
+		v.add(e)
 	}
 }
 
--- a/internal/incident/collect/collect.go
+++ b/internal/incident/collect/collect.go
@@ -144,17 +144,17 @@
 			return
 		}
 		seen[last] = true
-		found.Frames++
-		s.Frame(last, p.Frame.Now)
 		d.Reset(p.Frame.Events, p.Frame.At)
 		for {
 			ok, err := d.Next(&e)
 			if err != nil { // whole, and yet not to be read: of another version
 				found.Faults = append(found.Faults, fmt.Sprintf("%s boot %s frame %d: %v", s.Name, s.ID, last, err))
-				s.Damage(last, len(p.Frame.Events))
+				s.Damage(last-1, len(p.Frame.Events)) // it is not there, as far as what is known goes
 				return
 			}
 			if !ok {
+				found.Frames++
+				s.Frame(last, p.Frame.Now)
 				return
 			}
 			s.Event(&e)
--- a/internal/incident/incident_test.go
+++ b/internal/incident/incident_test.go
@@ -38,18 +38,20 @@
 	clocks  []int64 // how far each broker's clock is ahead
 	silent  map[int][]span
 	slow    map[int][]span
+	cold    map[int]span // it has restarted, and its answers take 2.5 times as long
 	drained map[int]span
 	dead    map[int][]span
 	dropped map[int][]span // the recorder has no room
 	cut     map[int][]span // frames are removed
 	surge   map[string]span
 	discoff *span
+	back    int64 // how far a broker's wall clock has been set by its second boot
 	usual   time.Duration
 }
 
 func newWorld(seed uint64) *world {
 	return &world{r: rand.New(rand.NewPCG(seed, 7)), zero: 1_800_000_000 * sec, length: 60 * sec, brokers: 3, nodes: 4, rate: 60,
-		clocks: make([]int64, 3), silent: map[int][]span{}, slow: map[int][]span{}, drained: map[int]span{}, dead: map[int][]span{},
+		clocks: make([]int64, 3), cold: map[int]span{}, silent: map[int][]span{}, slow: map[int][]span{}, drained: map[int]span{}, dead: map[int][]span{},
 		dropped: map[int][]span{}, cut: map[int][]span{}, surge: map[string]span{}}
 }
 
@@ -75,6 +77,9 @@
 		if in(w.slow[node], at) {
 			took *= 8
 		}
+		if c, ok := w.cold[node]; ok && c.has(at) {
+			took = took * 5 / 2
+		}
 		if in(w.silent[node], at) || cutsInto(w.silent[node], at, at+took) {
 			q.Tries = append(q.Tries, record.Try{Node: fmt.Sprint("s-", node), Sent: at - t, Took: 600 * ms, Outcome: uint8(policy.TimedOut)})
 			at += 600 * ms
@@ -141,8 +146,11 @@
 		note(d.from+delay, record.KindList, fmt.Sprint("s-", node), "draining", 10+int64(node))
 		note(d.to+w.r.Int64N(200*ms), record.KindList, fmt.Sprint("s-", node), "up", 20+int64(node))
 	}
+	for node, c := range w.cold {
+		note(c.from+w.r.Int64N(300*ms), record.KindNode, fmt.Sprint("s-", node), "may have restarted: outcome 4", 0)
+	}
 	for v := int64(0); v < w.length/(5*sec); v++ { // the list changes now and then, so that clocks can be told
-		note(v*5*sec+2*sec+w.r.Int64N(150*ms), record.KindList, "s-x", fmt.Sprint("started ", v), 100+v)
+		note(v*5*sec+2*sec+w.r.Int64N(150*ms), record.KindList, "s-x", fmt.Sprint("moved 10.0.0.", v), 100+v)
 	}
 	if d := w.discoff; d != nil {
 		note(d.from+w.r.Int64N(2*sec), record.KindDiscovery, "", "down: status 503", 0)
@@ -153,6 +161,9 @@
 	}
 	sort.SliceStable(items, func(x, y int) bool { return items[x].end < items[y].end })
 	ahead := w.zero + w.clocks[b]
+	if k > 0 {
+		ahead += w.back
+	}
 	s := incident.NewStream(fmt.Sprintf("n%d", b), fmt.Sprintf("boot%d-%d", b, k))
 	s.Event(&record.Event{At: up + ahead, Kind: record.KindBoot, Boot: &record.Boot{Name: s.Name, ID: s.ID, Began: up + ahead, Beat: 500 * ms, Sample: 1,
 		Classes: []record.Class{{Name: "artwork-read", Aim: 400 * ms, Due: 2500 * ms, Worth: 2}}, Plans: []record.Plan{{Name: "basis", Price: 0.8}}}})
@@ -202,6 +213,9 @@
 			out = append(out, check.Truth{Kind: incident.NodeSlow, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
 		}
 	}
+	for n, s := range w.cold {
+		out = append(out, check.Truth{Kind: incident.NodeCold, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
+	}
 	for n, s := range w.drained {
 		out = append(out, check.Truth{Kind: incident.NodeDrain, Subject: fmt.Sprint("s-", n), Begin: z + s.from, End: z + s.to})
 	}
@@ -233,7 +247,7 @@
 }
 
 // kinds that the emulated worlds have; the rest would be invented.
-var kinds = []incident.Kind{incident.BrokerDead, incident.NodeSilent, incident.NodeDown, incident.NodeSlow, incident.NodeDrain, incident.VolumeSurge,
+var kinds = []incident.Kind{incident.BrokerDead, incident.NodeSilent, incident.NodeCold, incident.NodeDown, incident.NodeSlow, incident.NodeDrain, incident.VolumeSurge,
 	incident.DiscoveryDown, incident.Refusals, incident.Rollout}
 
 func (w *world) check(t *testing.T, what string) *incident.Analysis {
@@ -286,7 +300,15 @@
 			},
 			"frames gone":       func(w *world) { w.cut[2] = []span{{15 * sec, 22 * sec}} },
 			"drain and silence": func(w *world) { w.drained[0] = span{14 * sec, 40 * sec}; w.silent[3] = []span{{20 * sec, 30 * sec}} },
-			"slow node":         func(w *world) { w.slow[1] = []span{{20 * sec, 32 * sec}} },
+			"silent, and back cold": func(w *world) {
+				w.silent[2] = []span{{15 * sec, 24 * sec}}
+				w.cold[2] = span{24 * sec, 33 * sec}
+			},
+			"a wall clock set back between two boots": func(w *world) {
+				w.dead[1] = []span{{20 * sec, 26 * sec}}
+				w.back = -4 * sec
+			},
+			"slow node": func(w *world) { w.slow[1] = []span{{20 * sec, 32 * sec}} },
 			"discovery down while a broker is dead": func(w *world) {
 				w.discoff = &span{20 * sec, 33 * sec}
 				w.dead[2] = []span{{25 * sec, 29 * sec}}
@@ -375,7 +397,7 @@
 	y.dead[0] = []span{{40 * sec, 45 * sec}}
 	var got []string
 	for _, c := range incident.Diff(incident.Analyse(x.streams(), incident.DefaultOptions()), incident.Analyse(y.streams(), incident.DefaultOptions())) {
-		if c.Kind != incident.NodeRestart {
+		if c.Kind != incident.NodeCold {
 			got = append(got, c.What+" "+string(c.Kind)+" "+c.Who)
 		}
 	}
--- a/internal/incident/report/page.go
+++ b/internal/incident/report/page.go
@@ -13,7 +13,7 @@
 .grid{stroke:var(--line);stroke-width:1}
 .s-known{fill:var(--known)}.s-dead{fill:#3b3f46}.s-stopped{fill:#b9c0ca}.s-lost{fill:#f5a524}.s-damaged{fill:#c0392b}
 .s-missing{fill:url(#hatch)}.s-stalled{fill:#9b7bd1}.s-not-recorded{fill:url(#dots)}
-.k-node-silent{fill:#d9480f}.k-node-down{fill:#a61e4d}.k-node-slow{fill:#f2a33a}.k-node-drains{fill:#4c6ef5}.k-node-restarted{fill:#0b7285}
+.k-node-silent{fill:#d9480f}.k-node-down{fill:#a61e4d}.k-node-slow{fill:#f2a33a}.k-node-drains{fill:#4c6ef5}.k-node-cold{fill:#0b7285}
 .k-surge{fill:#7048e8}.k-discovery-down{fill:#5c3d2e}.k-refusals{fill:#e03131}.k-rollout{fill:#1c7ed6}.k-broker-drains{fill:#74a9ff}.k-broker-dead{fill:#3b3f46}
 .fuzzy{fill:#fff;opacity:.55}
 .blind-all{fill:url(#hatch)}.blind-some{fill:#eceff3}
--- a/internal/incident/stream.go
+++ b/internal/incident/stream.go
@@ -230,7 +230,7 @@
 	}
 	frames := slices.Clone(s.frames)
 	sort.Slice(frames, func(a, b int) bool { return frames[a].seq < frames[b].seq })
-	period := max(s.Boot.Beat, 1)
+	period := s.period()
 	add := func(st State, from, to int64, events uint64, text string) {
 		if to > from || events > 0 {
 			out = append(out, Span{Broker: s.Name, Boot: s.ID, State: st, From: from, To: to, Events: events, Text: text})
@@ -265,6 +265,15 @@
 	return out
 }
 
+// period is how often a boot lets hear of itself. Where the segments with its particulars are gone, it is taken for a second,
+// which is longer than any broker's that is set up as documented.
+func (s *Stream) period() int64 {
+	if s.Boot.Beat > 0 {
+		return s.Boot.Beat
+	}
+	return second
+}
+
 // end is a boot's last word.
 func (s *Stream) end() int64 {
 	last := s.last
--- a/internal/serve/control_test.go
+++ b/internal/serve/control_test.go
@@ -7,6 +7,8 @@
 
 	"poppyarch/internal/control"
 	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/incident"
+	"poppyarch/internal/incident/collect"
 )
 
 // A broker that takes changes while it serves: a storage node drained by an operator gets nothing new, discovery's
@@ -15,7 +17,7 @@
 func TestControlChangesTheListUnderARunningBroker(t *testing.T) {
 	r := newRig(t)
 	addr := "unix:" + filepath.Join(t.TempDir(), "c")
-	extra := fmt.Sprintf(`,"control":{"listen":%q,"started":"d1"}`, addr)
+	extra := fmt.Sprintf(`,"control":{"listen":%q,"started":"d1"},"record":{"beat_ms":100}`, addr)
 	base, stop := r.broker(extra)
 	cl, err := control.Dial(addr)
 	if err != nil {
@@ -78,6 +80,26 @@
 	if o = change(nil, spec.Live{}); o.Code != control.Taken {
 		t.Errorf("%+v", o)
 	}
+	// What it did is in its memory, and readable while it runs.
+	seg, err := cl.Records(t.Context(), 1<<24)
+	if err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the records of what it did", func() bool {
+		if seg, err = cl.Records(t.Context(), 1<<24); err != nil {
+			t.Fatal(err)
+		}
+		s, err := collect.Bytes(seg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := incident.Analyse([]*incident.Stream{s}, incident.DefaultOptions())
+		drained := false
+		for _, e := range a.Episodes {
+			drained = drained || e.Kind == incident.NodeDrain && e.Subject == id
+		}
+		return s.Boot.ID == state().Boot && s.Boot.Name == "t1" && drained && len(a.Nodes) >= 2
+	})
 	boot := state().Boot
 	stop()
 	r.broker(extra)
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -245,6 +245,28 @@
 	}
 }
 
+// Up puts a stack up in an empty folder, with all its brokers settled.
+func Up(ctx context.Context, o Options) (*Stack, error) {
+	s, err := New(o)
+	if err != nil {
+		return nil, err
+	}
+	err = s.Start(ctx)
+	if err == nil {
+		err = s.Inventory(map[string]string{"memory_mb": "96"})
+	}
+	if err == nil {
+		var out string
+		if out, err = s.Run("apply", "--wait"); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		return nil, errors.Join(err, s.Close())
+	}
+	return s, nil
+}
+
 func (s *Stack) start(name string, args ...string) error {
 	cmd := exec.Command(s.opt.Program, args...)
 	cmd.Env = append(os.Environ(), s.opt.Env...)
--- a/tools/fleetmeasure/main.go
+++ b/tools/fleetmeasure/main.go
@@ -114,24 +114,15 @@
 }
 
 func fleet(ctx context.Context, s *stack.Stack, load *standin.Traffic, _ string) (start, change time.Duration, err error) {
-	at := time.Now()
-	if _, err = begin(ctx, s); err != nil {
-		return
-	}
-	start = time.Since(at)
-	change, err = under(ctx, load, func() error {
-		if err := s.Inventory(map[string]string{"memory_mb": "128"}); err != nil {
-			return err
-		}
-		if out, err := s.Run("apply"); err != nil {
-			return fmt.Errorf("%w: %s", err, out)
-		}
-		return settle(ctx, s)
-	})
-	return
+	return managed(ctx, s, load, false)
 }
 
 func fleetKilled(ctx context.Context, s *stack.Stack, load *standin.Traffic, _ string) (start, change time.Duration, err error) {
+	return managed(ctx, s, load, true)
+}
+
+// managed changes all brokers by the fleet's manager; with kill its agent is killed in the middle of it.
+func managed(ctx context.Context, s *stack.Stack, load *standin.Traffic, kill bool) (start, change time.Duration, err error) {
 	at := time.Now()
 	if _, err = begin(ctx, s); err != nil {
 		return
@@ -144,11 +135,13 @@
 		if out, err := s.Run("apply"); err != nil {
 			return fmt.Errorf("%w: %s", err, out)
 		}
-		time.Sleep(time.Second)
-		s.Kill("agent1")
-		time.Sleep(time.Second)
-		if err := s.Agent(1); err != nil {
-			return err
+		if kill {
+			time.Sleep(time.Second)
+			s.Kill("agent1")
+			time.Sleep(time.Second)
+			if err := s.Agent(1); err != nil {
+				return err
+			}
 		}
 		return settle(ctx, s)
 	})
--- a/tools/incidentplay/main.go
+++ b/tools/incidentplay/main.go
@@ -39,22 +39,13 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	s, err := stack.New(stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 3, Objects: 2, Agents: 1, Soak: 100 * time.Millisecond,
-		Aim: 400 * time.Millisecond, Record: true})
-	if err != nil {
-		return err
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	defer cancel()
-	if err := s.Start(ctx); err != nil {
-		return err
-	}
-	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
+	s, err := stack.Up(ctx, stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 3, Objects: 2, Agents: 1, Soak: 100 * time.Millisecond,
+		Aim: 400 * time.Millisecond, Record: true})
+	if err != nil {
 		return err
 	}
-	if text, err := s.Run("apply", "--wait"); err != nil {
-		return fmt.Errorf("%w: %s", err, text)
-	}
 	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 4, Clients: 6,
 		Pause: 20 * time.Millisecond, Patience: 1200 * time.Millisecond}
 	start := time.Now()
--- a/tools/nodesmeasure/main.go
+++ b/tools/nodesmeasure/main.go
@@ -72,23 +72,14 @@
 		return nil, err
 	}
 	defer os.RemoveAll(dir)
-	s, err := stack.New(stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 2, Objects: 1, Agents: 1, Soak: 50 * time.Millisecond,
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
+	defer cancel()
+	s, err := stack.Up(ctx, stack.Options{Dir: dir, Program: program, Nodes: 4, Blocks: 2, Objects: 1, Agents: 1, Soak: 50 * time.Millisecond,
 		Aim: 2 * time.Second, Lists: true})
 	if err != nil {
 		return nil, err
 	}
 	defer s.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
-	defer cancel()
-	if err := s.Start(ctx); err != nil {
-		return nil, err
-	}
-	if err := s.Inventory(map[string]string{"memory_mb": "96"}); err != nil {
-		return nil, err
-	}
-	if out, err := s.Run("apply", "--wait"); err != nil {
-		return nil, fmt.Errorf("%w: %s", err, out)
-	}
 	load := &standin.Traffic{Blocks: s.Block, Objects: s.Front, Read: "artwork-read", Write: "job-new", Plan: "basis", Shards: 4, Clients: 4,
 		Pause: 2 * time.Millisecond}
 	on, stop := context.WithCancel(ctx)
