Tests for guards that could be taken out unseen: settling, limits, moves, former lives, gaps on the page

Of 18 further guards taken out one at a time, seven went unnoticed: a file that is still written told as settled, mode limit, a node moved under its id, a report of the manager's former life, lost records shown as missing frames, a stopped broker, and blind seconds. Each has a test now.

--- a/internal/filewatch/filewatch_test.go
+++ b/internal/filewatch/filewatch_test.go
@@ -89,3 +89,31 @@
 		w.Close()
 	}
 }
+
+// A file that a writer adds to step by step is told as settled once, with all of it: the steps are far closer together than what
+// counts as standing still.
+func TestSlowWriterSettlesOnce(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "list.csv")
+	if err := os.WriteFile(path, []byte("old"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w, _ := New(Times{Poll: 20 * time.Millisecond, Settle: 2 * time.Second, Most: patience})
+	defer w.Close()
+	w.Watch([]string{path})
+	const want = "a list of some length"
+	go func() {
+		f, _ := os.OpenFile(path, os.O_WRONLY|os.O_TRUNC, 0)
+		for i := range want {
+			f.WriteString(want[i : i+1])
+			time.Sleep(5 * time.Millisecond)
+		}
+		f.Close()
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	c, ok := w.Next(ctx, false)
+	b, _ := os.ReadFile(path)
+	if !ok || !c.Settled || string(b) != want {
+		t.Errorf("%v %+v %q", ok, c, b)
+	}
+}
--- a/internal/incident/collect/collect_test.go
+++ b/internal/incident/collect/collect_test.go
@@ -161,6 +161,15 @@
 	edit(t, files[len(files)-1], func(b []byte) []byte { return b[:len(b)-20] })
 	got, _, _ = states(t, "n1", dir)
 	same(t, "a torn tail", got, "known 0.0-19.8", "dead 19.8-30.0")
+	// One that said it stopped is not dead.
+	write(t, dir, "n3", "00cc", zero, 10, true)
+	got, a, _ = states(t, "n3", dir)
+	same(t, "stopped", got, "known 0.0-10.0", "stopped 10.0-30.0")
+	for _, e := range a.Episodes {
+		if e.Kind == incident.BrokerDead && e.Subject != "n1" {
+			t.Errorf("%+v", e)
+		}
+	}
 	// Garbage that is no segment at all is told and passed over.
 	os.WriteFile(filepath.Join(dir, "x.seg"), []byte("hello"), 0o600)
 	if _, _, f = states(t, "n1", dir); len(f.Faults) != 2 || !strings.Contains(strings.Join(f.Faults, " "), "x.seg: not a segment") {
@@ -204,9 +213,17 @@
 // A disk that fills up in the middle of a segment leaves half a frame; the broker goes on in a new file once there is room.
 // What came between is known to be lost, and how much.
 func TestFullDiskMidSegment(t *testing.T) {
+	for _, torn := range []bool{true, false} { // or it took nothing of the next frame
+		fullDisk(t, torn)
+	}
+}
+
+func fullDisk(t *testing.T, torn bool) {
 	dir := t.TempDir()
 	files := write(t, dir, "n1", "00aa", zero, 10, false)
-	edit(t, files[len(files)-1], func(b []byte) []byte { return b[:len(b)-25] })
+	if torn {
+		edit(t, files[len(files)-1], func(b []byte) []byte { return b[:len(b)-25] })
+	}
 	d, err := record.NewDir(dir, "n1", "00aa", 1<<20, 1<<30)
 	if err != nil {
 		t.Fatal(err)
@@ -221,7 +238,7 @@
 	d.Close()
 	got, a, _ := states(t, "n1", dir)
 	if !slices.ContainsFunc(got, func(s string) bool { return s == "lost 9.9-14.0" }) || slices.ContainsFunc(got, func(s string) bool {
-		return strings.HasPrefix(s, "known") && strings.HasSuffix(s, "-14.0") && !strings.HasPrefix(s, "known 14.0")
+		return strings.HasPrefix(s, "known") && strings.HasSuffix(s, "-14.0") && !strings.HasPrefix(s, "known 14.0") || strings.HasPrefix(s, "missing")
 	}) {
 		t.Errorf("%v", got)
 	}
--- /dev/null
+++ b/internal/incident/report/report_test.go
@@ -0,0 +1,82 @@
+package report
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"poppyarch/internal/incident"
+	"poppyarch/internal/record"
+)
+
+const sec = int64(1_000_000)
+
+// twoBoots is a broker that served, was dead from 10 to 16 s, and served again.
+func twoBoots() *incident.Analysis {
+	var list []*incident.Stream
+	for k, span := range [][2]int64{{1, 10}, {16, 25}} {
+		s := incident.NewStream("n<1>", string(rune('a'+k)))
+		begin := span[0] * sec
+		s.Event(&record.Event{At: begin, Kind: record.KindBoot, Boot: &record.Boot{Name: "n<1>", ID: s.ID, Began: begin, Beat: sec / 2, Sample: 1,
+			Classes: []record.Class{{Name: "read", Aim: sec, Worth: 1}}, Plans: []record.Plan{{Name: "p", Price: 1}}}})
+		seq := uint64(0)
+		for at := begin; at < span[1]*sec; at += sec / 5 {
+			seq++
+			s.Frame(seq, at)
+			s.Event(&record.Event{At: at, Kind: record.KindRequest, Request: &record.Request{Volume: "v", Units: 1, Took: 20_000, Tries: []record.Try{{Node: "s-1", Took: 19_000}}}})
+		}
+		list = append(list, s)
+	}
+	return incident.Analyse(list, incident.DefaultOptions())
+}
+
+// Of a time of which nothing is known the page draws no line and says so; the seconds count their blind brokers; names are
+// escaped; and the JSON reads back.
+func TestGapsAreDrawnAsGaps(t *testing.T) {
+	a := twoBoots()
+	blind := 0
+	for _, s := range a.Seconds {
+		if s.Blind == 1 {
+			blind++
+			if s.At < 10*sec || s.At >= 16*sec || s.Served > 0 {
+				t.Errorf("%+v", s)
+			}
+		}
+	}
+	if blind < 5 || blind > 6 {
+		t.Errorf("%d seconds are blind", blind)
+	}
+	x := func(at int64) float64 { return float64(at) / 1e6 }
+	p := draw(a, x, "t", func(s incident.Second) []float64 { return []float64{float64(s.Served)} }, "served")
+	if len(p.Lines[0].Pieces) != 2 || len(p.Blind) != blind {
+		t.Errorf("%d pieces, %d shaded", len(p.Lines[0].Pieces), len(p.Blind))
+	}
+	var page, text, js bytes.Buffer
+	if err := HTML(&page, a, "<title>"); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"n&lt;1&gt;", "&lt;title&gt;", "blind-all", "broker dead", "s-dead"} {
+		if !strings.Contains(page.String(), want) {
+			t.Errorf("the page has no %q", want)
+		}
+	}
+	for _, never := range []string{"n<1>", "http://", "https://", "src="} {
+		if strings.Contains(page.String(), never) {
+			t.Errorf("the page has %q", never)
+		}
+	}
+	if err := Text(&text, a); err != nil || !strings.Contains(text.String(), "dead") {
+		t.Errorf("%v %s", err, text.String())
+	}
+	if err := JSON(&js, a); err != nil {
+		t.Fatal(err)
+	}
+	var back incident.Analysis
+	if err := json.Unmarshal(js.Bytes(), &back); err != nil || len(back.Episodes) != len(a.Episodes) || len(back.Knowledge) != len(a.Knowledge) {
+		t.Errorf("%v", err)
+	}
+	if err := Show(&text, a, 99); err == nil {
+		t.Error("an episode that is not there")
+	}
+}
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -268,3 +268,49 @@
 		t.Errorf("%+v", x)
 	}
 }
+
+// In mode limit a node that no file has is not used, whoever else knows it; before a file has spoken, all are.
+func TestLimit(t *testing.T) {
+	o := DefaultOptions()
+	o.Limit = true
+	s := New(o, 1)
+	if got := s.Tell(Discovery, 1, rows(3, Up), 2); len(got) != 3 {
+		t.Fatalf("%+v", got)
+	}
+	if got := s.Tell(Files, 1, rows(2, Up), 3); len(got) != 1 || got[0].ID != "s2" || got[0].State != Out {
+		t.Fatalf("%+v", got)
+	}
+	if x := s.Explain("s2"); x.Phase != IsOut || len(x.Notes) == 0 {
+		t.Errorf("%+v", x)
+	}
+	if got := s.Tell(Files, 2, rows(3, Up), 4); len(got) != 1 || got[0].State != Up {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// A node that a file puts at another address, or on another shard, is another process under an old name: cold, though the file has it warm. One
+// that discovery knows is what discovery says.
+func TestMovedIsCold(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		s := New(DefaultOptions(), 1)
+		if known {
+			s.Tell(Discovery, 1, rows(1, Up), 2)
+		}
+		s.Tell(Files, 1, rows(1, Up), 2)
+		s.Begun()
+		for k, change := range []func(*Entry){func(e *Entry) { e.Addr = "10.9.9.9" }, func(e *Entry) { e.Addr, e.Shard = "10.9.9.9", 7 }} {
+			list := rows(1, Up)
+			change(&list[0])
+			now := int64(k+1) * 100 * s1
+			got := s.Tell(Files, int64(k+2), list, now)
+			switch {
+			case known && len(got) > 0:
+				t.Errorf("discovery knows it, and it is %+v", got)
+			case !known && (len(got) != 1 || got[0].Started != now):
+				t.Errorf("change %d: %+v", k, got)
+			case !known && s.Explain("s0").Phase != Cold:
+				t.Errorf("change %d: %+v", k, s.Explain("s0"))
+			}
+		}
+	}
+}
