Fleet of hundreds: overload held back by all nodes' stays, pauses fade, no herd on one node

Cause: a D under 1 rose only with an answered trial (age), and a host comes by a node every half minute. Ruled out as causes of this: handshakes (median 0.9 ms to the first attempt), discovery, descriptors (218 of 576), memory (10 of 72 MB).

Changed: D of all nodes together follows the stays within a quarter of an aim however rare they are, counts what is still out, and under 1 admits that part of the work (squared beyond the reserve); what is known of one node fades into it in both directions, at a silent node by how often such nodes come back; unmeasured nodes are tried by lot; a node is held to its shortest aim.

Constants left as they were, but medianStep, which allTime replaces: in aims, so it follows the settings.

--- /dev/null
+++ b/policy/many_test.go
@@ -0,0 +1,164 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// These tests are about one host among hundreds: it asks any one node for little, and what it does all the others do.
+
+// fleetOf lists n nodes.
+func fleetOf(n int) (out []Member) {
+	for i := range n {
+		out = append(out, Member{Node: fmt.Sprint("n", i), Shard: i})
+	}
+	return out
+}
+
+// Hosts that have measured nothing yet must not all begin with the node that the list names first: on a full fleet it got
+// 262 new objects in five seconds where the others got 20.
+func TestUnmeasuredNodesAreTriedByLot(t *testing.T) {
+	const hosts, nodes = 300, 150
+	first := map[string]int{}
+	for seed := range uint64(hosts) {
+		cfg := testConfig()
+		cfg.Seed = seed
+		r := newRig(t, cfg, fleetOf(nodes)...)
+		ev := r.arrive(1, 1, 0, "v", "k", 2)
+		ev.Arrival.Shard = -1
+		for _, a := range r.step(ev) {
+			if a.Kind == Send {
+				first[a.Node]++
+			}
+		}
+	}
+	for n, c := range first {
+		if c > 12 {
+			t.Errorf("%d of %d hosts send their first new object to %s of %d nodes", c, hosts, n, nodes)
+		}
+	}
+	if len(first) < nodes/2 {
+		t.Errorf("only %d of %d nodes are tried", len(first), nodes)
+	}
+}
+
+// thin drives a host that takes perSecond requests for ever other nodes, answered after stay or timed out. Odd ones are
+// beyond the reserve. It returns which part of either kind was sent.
+func thin(r *rig, id *uint64, perSecond int, span, stay time.Duration) (inside, beyond float64) {
+	type due struct {
+		id   uint64
+		node string
+		at   time.Duration
+		out  Outcome
+	}
+	var open []due
+	var sent, all [2]float64
+	gap := time.Second / time.Duration(perSecond)
+	next, end := r.now, r.now+span
+	for r.now < end {
+		var evs []Event
+		open = func() (keep []due) {
+			for _, d := range open {
+				if d.at > r.now {
+					keep = append(keep, d)
+					continue
+				}
+				evs = append(evs, Event{Kind: Answered, ID: d.id, Node: d.node, Outcome: d.out, Final: d.out == Served})
+			}
+			return keep
+		}()
+		if r.now >= next {
+			next += gap
+			*id++
+			ev := r.arrive(*id, 0, 0, fmt.Sprint("v", *id%2), fmt.Sprint(*id), 2)
+			ev.Arrival.Shard = int(*id*7) % len(r.s.list)
+			r.s.volume(&Arrival{Volume: "v1"}).credit = -1e9
+			r.s.volume(&Arrival{Volume: "v0"}).credit = 8
+			evs = append(evs, ev)
+			all[*id%2]++
+		}
+		for _, a := range r.after(10*ms, evs...) {
+			if a.Kind != Send {
+				continue
+			}
+			sent[a.ID%2]++
+			d := due{a.ID, a.Node, r.now + stay, Served}
+			if stay > a.After {
+				d.at, d.out = r.now+a.After, TimedOut
+			}
+			open = append(open, d)
+		}
+	}
+	for _, d := range open {
+		r.step(Event{Kind: Answered, ID: d.id, Node: d.node, Outcome: d.out, Final: true})
+	}
+	return sent[0] / all[0], sent[1] / all[1]
+}
+
+// When every node's stay is long, each of many hosts sees that at another node each time, none of which it has learnt to
+// spare. What it knows of all together has to hold back what lies beyond the reserves, before that fills the nodes' queues.
+func TestLongStaysEverywhereHoldBackWhatIsBeyondTheReserve(t *testing.T) {
+	r := newRig(t, testConfig(), fleetOf(150)...)
+	id := uint64(0)
+	if in, out := thin(r, &id, 6, 5*time.Second, 100*ms); in < 0.95 || out < 0.95 {
+		t.Errorf("short stays: sent %.2f of the reserve's work and %.2f of the rest", in, out)
+	}
+	thin(r, &id, 6, 2*time.Second, 900*ms) // one stay passes before anything can be known
+	if in, out := thin(r, &id, 6, 5*time.Second, 900*ms); out > 0.2 || in < 0.4 {
+		t.Errorf("long stays: sent %.2f of the reserve's work and %.2f of the rest", in, out)
+	}
+}
+
+// Once the stays are short again, a host that comes by a node every half minute must not spare it for what it saw there
+// last: on a full fleet half of all requests were refused by idle nodes' brokers for as long as the day went on.
+func TestPausesEndWhereTheOthersAreWell(t *testing.T) {
+	r := newRig(t, testConfig(), fleetOf(12)...)
+	id := uint64(0)
+	thin(r, &id, 6, 5*time.Second, 100*ms)
+	thin(r, &id, 6, 15*time.Second, 3*time.Second) // all time out
+	paused := 0
+	for _, n := range r.s.list {
+		if n.depth < 1 {
+			paused++
+		}
+	}
+	if paused < 9 {
+		t.Fatalf("only %d nodes are spared after 10 s of time-outs", paused)
+	}
+	thin(r, &id, 6, 6*time.Second, 100*ms)
+	if in, out := thin(r, &id, 6, 10*time.Second, 100*ms); in < 0.9 || out < 0.8 {
+		t.Errorf("6 s after the end: sent %.2f of the reserve's work and %.2f of the rest", in, out)
+	}
+}
+
+// A node that takes work and answers none stays spared while the others are well, as long as such nodes do not come back.
+func TestSilentNodeStaysSpared(t *testing.T) {
+	r := newRig(t, testConfig(), fleetOf(2)...)
+	n := r.s.nodes["n0"]
+	r.s.all, r.s.trust = history{lat: 0.1, depth: 1}, 0.1
+	n.suspect, n.lat, n.depth = true, 1.5, 0.05
+	for range 50 {
+		r.after(period)
+	}
+	if n.depth > 0.2 {
+		t.Errorf("D of a silent node is %v after 5 s", n.depth)
+	}
+}
+
+// Classes with different aims share a node's queue. D has to follow the shortest, or work with a long aim fills it up to
+// a stay at which the other class is never served in time.
+func TestShortestAimRulesTheNode(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes[1].Aim = 4 * time.Second
+	r := newRig(t, cfg, fleetOf(1)...)
+	for i := uint64(1); i <= 40; i++ {
+		ev := r.arrive(i, int(min(i%4, 1)), 0, "v", fmt.Sprint(i), 2)
+		ev.Arrival.Shard = 0
+		r.step(ev)
+		r.after(100*ms, answered(i, "n0", Served))
+	}
+	if aim := r.s.nodes["n0"].aim; aim > 2 {
+		t.Errorf("a node that serves aims of 1 s and 4 s is held to %.1f s", aim)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,8 +1,7 @@
 // The decisions of poppyarch. Types are in api.go: settings, events and actions.
 //
-// Reading order: constants; state; Step; requests and answers; queues, tags, compensation; depth; rules;
-// admission; discovery. A request's way: take labels it, place queues it, dispatch sends it when its node has
-// room and its tag is lowest (every send passes maySend), answer ends it.
+// A request's way: take labels it, place queues it, dispatch sends it when its node has room and its tag is
+// lowest (every send passes maySend), answer ends it.
 
 package policy
 
@@ -31,7 +30,8 @@
 	lookPast    = 8                      // requests looked at behind a blocked head
 	nodeAge     = 3 * time.Second        // what is known of one node fades into what is known of all
 	pauseAim    = 0.3                    // part of the aim that the stay may take before D falls under 1
-	medianStep  = 0.03                   // step of the middle stay over all nodes at each outcome, in aims
+	allTime     = 0.25                   // aims in which what is known of all nodes together follows
+	allLeast    = 0.05                   // least D of all nodes together
 	coldShare   = 0.5                    // part of what a cold node bears that lots send in the mean
 	trustLeast  = 0.35                   // under this part of trials served, work inside its reserve pauses too
 	trustGain   = 0.1                    // weight of one trial
@@ -39,6 +39,7 @@
 	errorCost   = 5.0                    // a node that only fails is as good as one with a queue of so many aims
 	sureRefused = 2                      // so many refused connections in a row mean that a process is down
 	sureSilence = time.Second            // a node that broke off after so long without an answer was down
+	leastStay   = 0.001                  // seconds; or all hosts would begin with one node not measured
 	minDepth    = 0.02                   // least D: under 1 it is a pause between sends
 	rateAge     = 5 * time.Second        // units asked, served and told are forgotten with this time constant
 	lateStretch = 1.5                    // an attempt that timed out counts as so many times what it was out
@@ -59,7 +60,7 @@
 	vol                   *volume
 	node                  *node // where it waits or last went
 	flow                  *flow
-	lot                   float64       // from 0 to 1; the lowest may go to a cold node
+	lot, chance           float64       // from 0 to 1; the lowest may go to a cold node, or to any where few may
 	start, finish         float64       // tags
 	began                 time.Duration // first try of the client
 	aimAt, endAt          time.Duration // worth falls after aimAt; waiting ends at endAt
@@ -67,6 +68,7 @@
 	streamed              bool          // its answer began early: its client sets the pace
 	reserved, drawn       bool          // counted inside its volume's reserve; taken from its limit
 	over, waiting, served bool
+	long                  bool          // its attempt is out for longer than pays
 	attempts, out         int           // attempts so far; those without an outcome
 	sentAt, riskAt        time.Duration // last send; send of the earliest attempt that may have run
 	risk                  *node         // node of the latter; nil: nothing may have run
@@ -160,7 +162,7 @@
 	logs               int
 	logsAt             time.Duration // since when they are counted
 	trust              float64       // part of the trials at suspect nodes that were served
-	asked              meter         // units of all volumes
+	asked, outcomes    meter         // units of all volumes; outcomes that tell of a stay
 	all                history       // of all nodes together
 }
 
@@ -279,7 +281,7 @@
 	if s.cfg.Budget {
 		s.takenAt = append(s.takenAt, s.now)
 	}
-	r := &request{id: ev.ID, a: ev.Arrival, lot: 0.8 * s.rng.Float64()}
+	r := &request{id: ev.ID, a: ev.Arrival, lot: 0.8 * s.rng.Float64(), chance: s.rng.Float64()}
 	r.a.Units = orOne(r.a.Units)
 	s.reqs[r.id] = r
 	if r.a.Class < 0 || r.a.Class >= len(s.cfg.Classes) {
@@ -363,7 +365,7 @@
 	if r.attempts == 0 { // kept for longer without a send, it costs more than a refusal
 		r.endAt = min(r.endAt, r.halfAt)
 	}
-	if r.endAt <= s.now {
+	if r.endAt <= s.now || r.attempts == 0 && r.chance > s.admitted(r) {
 		s.giveUp(r, hintLong)
 		return
 	}
@@ -384,6 +386,16 @@
 	s.shed(n)
 }
 
+// admitted is the part of the work that goes on to a node at all, where D of all nodes together is under 1. A
+// pause between the sends to one node holds nothing back where each of many hosts comes by less often.
+// What is inside a reserve goes on until the rest has nearly stopped.
+func (s *Scheduler) admitted(r *request) float64 {
+	if r.reserved {
+		return 10 * s.all.depth
+	}
+	return s.all.depth * s.all.depth
+}
+
 // answer takes the outcome of an attempt.
 func (s *Scheduler) answer(ev *Event) {
 	n, r := s.nodes[ev.Node], s.reqs[ev.ID]
@@ -530,10 +542,9 @@
 	return int(max(n.depth, 1))
 }
 
-// paused is how long the pause between sends still lasts: where D is under 1, one goes in every mean stay
-// over D. What is inside a reserve is owed in full and waits for none, unless trials at suspect nodes are
-// hardly ever served, as where nodes go on with what timed out or are dead: then a tenth, from a D of a tenth
-// on.
+// paused is how long the pause between sends still lasts: under a D of 1, one goes in every mean stay over D.
+// What is inside a reserve is owed in full and waits for none, unless trials at suspect nodes are hardly ever
+// served, as where nodes go on with what timed out or are dead: then a tenth, from a D of a tenth on.
 func (s *Scheduler) paused(r *request, n *node) time.Duration {
 	d := n.depth
 	if r.reserved {
@@ -555,17 +566,12 @@
 	return nil
 }
 
-// tidy forgets clients that try no more, keys at rest, and volumes and nodes long unseen. A node is kept
-// while its drain, cold start or a send in the rule's window may count if it comes back, and while an
-// attempt is out.
+// tidy forgets clients that try no more, keys at rest, and volumes and nodes long unseen, but no node while
+// its drain, cold start, an attempt or a send in the rule's window may count if it comes back.
 func (s *Scheduler) tidy() {
-	s.list = slices.DeleteFunc(s.list, func(n *node) bool {
-		gone := !n.listed && s.now > n.leftAt+forget+s.cfg.Warm && len(n.out) == 0
-		if gone {
-			delete(s.nodes, n.Node)
-		}
-		return gone
-	})
+	gone := func(n *node) bool { return !n.listed && s.now > n.leftAt+forget+s.cfg.Warm && len(n.out) == 0 }
+	s.list = slices.DeleteFunc(s.list, gone)
+	maps.DeleteFunc(s.nodes, func(_ string, n *node) bool { return gone(n) })
 	maps.DeleteFunc(s.unserved, func(_ piece, until time.Duration) bool { return until <= s.now })
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.queue) == 0 && t.rest <= s.now })
 	maps.DeleteFunc(s.vols, func(_ string, v *volume) bool {
@@ -579,6 +585,12 @@
 	eps := epsUnits * s.cfg.MeanUnits
 	for _, n := range s.list {
 		s.inWindow(n)
+		for _, r := range n.out { // what is still out tells of a long stay sooner than its answer would
+			if !r.long && (s.now-r.sentAt).Seconds() > pauseAim*n.aim {
+				r.long = true
+				s.sway(n.aim, true)
+			}
+		}
 		s.age(n)
 		least := math.Inf(1)
 		for _, f := range n.flows {
@@ -632,21 +644,19 @@
 	}
 }
 
-// age brings what is known of a node nearer to what is known of all, the more the longer it was not heard. It
-// never ends a pause: only a trial that is answered raises D from under 1.
+// age brings what is known of a node nearer to what is known of all. A pause ends so where the others are
+// well, or it would outlast its cause by minutes at a host that comes by seldom. Where the node was silent,
+// that goes by how often such nodes have answered of late.
 func (s *Scheduler) age(n *node) {
 	if s.all.lat == 0 {
 		return
 	}
-	part := period.Seconds() / nodeAge.Seconds()
-	usual := s.all.lat
-	if n.Capacity > 0 {
-		usual /= n.Capacity
+	part, usual, d := period.Seconds()/nodeAge.Seconds(), s.all.lat/orOne(n.Capacity), s.all.depth
+	if n.depth < 1 && n.suspect {
+		part *= s.trust * s.trust
 	}
-	if n.depth >= 1 || usual > n.lat {
-		n.lat += part * (usual - n.lat)
-	}
-	if d := s.all.depth; d < n.depth && d < 1 {
+	n.lat += part * (usual - n.lat)
+	if d < n.depth && d < 1 || n.depth < d {
 		n.depth += part * (d - n.depth)
 	}
 }
@@ -660,8 +670,7 @@
 	if o := ev.Outcome; o == Served || o == NodeError || o == TurnedAway || o == Spoilt {
 		n.heardAt = s.now
 	}
-	// Spoilt answers come from good nodes as well: they are no sign of load, a restart or silence.
-	switch ev.Outcome {
+	switch ev.Outcome { // spoilt answers come from good nodes as well: no sign of load, a restart or silence
 	case NodeError: // how fast it fails tells nothing of how fast it serves
 		n.errors += errorGain * (1 - n.errors)
 	case Served, TimedOut:
@@ -689,8 +698,11 @@
 		}
 		n.held = 0
 		n.history.learn(lat, ev.Outcome == TimedOut, n.aim, n.queued > 0)
-		// Of all nodes the middle counts, so that a few bad ones do not speak for the rest.
-		s.all.learn(s.all.lat+math.Copysign(medianStep*n.aim/latGain, lat-s.all.lat), false, n.aim, false)
+		s.outcomes.add(s.now, 1) // of all nodes the middle counts, so that a few bad ones do not speak for the rest
+		s.all.lat += math.Copysign(min(s.gain(n.aim)*n.aim, math.Abs(lat-s.all.lat)), lat-s.all.lat)
+		if long := lat > pauseAim*n.aim; !r.long && (long || ev.Outcome == Served) {
+			s.sway(n.aim, long)
+		}
 	case TurnedAway:
 		n.depth = max(minDepth, n.depth/2) // a full queue: longer than any stay that pays
 		n.retryAt = s.now + tickBusy
@@ -726,6 +738,18 @@
 	}
 }
 
+// gain is the weight of one stay in what is known of all nodes: rare ones turn it within allTime too.
+func (s *Scheduler) gain(aim float64) float64 { return 1 / (1 + allTime*aim*s.outcomes.rate(s.now)) }
+
+// sway moves D of all nodes together by one stay. It falls while most are too long.
+func (s *Scheduler) sway(aim float64, long bool) {
+	g := s.gain(aim)
+	if long {
+		g = -g
+	}
+	s.all.depth = max(allLeast, min(1, s.all.depth*(1+g)))
+}
+
 // wait is how long u units queued here are likely to take until sent, in seconds.
 func (s *Scheduler) wait(n *node, u float64) float64 {
 	return u / s.cfg.MeanUnits * n.lat / max(n.depth, 1)
@@ -827,9 +851,9 @@
 	r.drawn = true
 	n.recent = append(n.recent, meter{r.a.Units, s.now})
 	n.vStart, n.vEnd = max(n.vStart, r.start), max(n.vEnd, r.finish)
-	n.aim += latGain * (r.class.Aim.Seconds() - n.aim)
+	n.aim = min(r.class.Aim.Seconds(), n.aim+latGain*(r.class.Aim.Seconds()-n.aim))
 	n.out, n.sentAt = append(n.out, r), s.now
-	r.attempts, r.out, r.sentAt, r.node = r.attempts+1, r.out+1, s.now, n
+	r.attempts, r.out, r.sentAt, r.node, r.long = r.attempts+1, r.out+1, s.now, n, false
 	// Out until its answer would be late. Where nodes drop what timed out, their queues cannot grow beyond the
 	// aim however many hosts send; elsewhere it brings word of a queue early. Covers hung, dead and lossy nodes
 	// too. It may lose late answers that still pay.
@@ -880,7 +904,7 @@
 			c += s.cfg.Far.Seconds()
 		}
 		c += errorCost * n.errors * n.aim // one that fails fast would draw all new objects
-		c *= 1 + 0.2*s.rng.Float64()
+		c = max(c, leastStay) * (1 + 0.2*s.rng.Float64())
 		if c < cost || best == nil {
 			best, cost = n, c
 		}
@@ -948,10 +972,8 @@
 		n := s.nodes[m.Node]
 		if n == nil {
 			n = &node{byVol: map[*volume]*flow{}, aim: s.cfg.Classes[0].Aim.Seconds()}
-			n.depth = firstDepth
-			if m.Capacity > 0 { // what its kind lets expect, until it is measured
-				n.depth, n.lat = min(maxDepth, firstDepth*m.Capacity), s.all.lat/m.Capacity
-			}
+			c := orOne(m.Capacity) // what its kind lets expect, until it is measured
+			n.depth, n.lat = min(maxDepth, firstDepth*c), s.all.lat/c
 			s.nodes[m.Node], s.list = n, append(s.list, n)
 		} else if m.StartedAt > n.StartedAt {
 			n.depth = 1
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -481,6 +481,7 @@
 			for n.depth < 1 && len(of(r.after(period), Send)) == 0 {
 				n.depth = 1 // no pause: this is about what the outcome says
 			}
+			r.s.all.depth = 1
 			want(t, "sends", of(r.step(r.arrive(uint64(id+1), 0, 0, "v", fmt.Sprint(id), 2)), Send), uint64(id+1))
 			for range 4 {
 				r.after(period)
