Discovery: watches wait by the number of brokers, failed calls come again soon, out of step

Counted: 300 watches of 1 s are 300 calls a second, all in step (295 answers in one half second, none in the next); discovery does about 50 whole lists a second, or six times as many empty answers. So the renewals alone took all it has. Ruled out: answers that hang (none took over 1.2 s), the check after dialling, the table.

At fault: config ListWait 1 s whatever the number of brokers; policy watchMax 4 s and waits counted from the call, which made the first repetition immediate; no jitter anywhere; Move, which asks at once in every broker. Now a watch waits 10 ms for each broker of the fleet, at least 1 s as before and at most half of ask_within, less up to a quarter by lot; a failed call is made again after 0.25 to 0.75 s, then 0.5 to 1.5 s; a move asks within 5 ms a broker, at most 1.5 s, during which the watch at the old address goes on.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -430,6 +430,15 @@
 		l.NodeIdle = min(l.NodeIdle, v/1000/3)
 		l.NodeFresh = min(l.NodeFresh, l.NodeIdle/2)
 	}
+	// One discovery serves all brokers and bears some hundreds of calls a second at best. A longer wait costs no safety:
+	// what a call should have told counts as told so long after its wait is over. A list without news has no lines, a
+	// whole one has a line for each node, so the move of a fleet is spread further than its watches.
+	hosts := int64(c.Policy.Hosts)
+	l.ListWait = max(l.ListWait, hosts*s/100)
+	if v := c.Policy.AskWithin.Microseconds(); v > 0 {
+		l.ListWait = min(l.ListWait, max(1*s, v/2))
+	}
+	l.ListSpread = min(hosts*5*ms, 1*s+500*ms) // the old address serves on for so long
 	if v := ex.Limits.MaxOpen; v > 0 {
 		l.MaxOpen = min(l.MaxOpen, v)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -42,6 +43,25 @@
 	}
 }
 
+// One discovery serves all brokers: 300 of them with a wait of 1 s made 300 calls a second, all it bears. The wait has to
+// grow with their number, yet stay within the time after which a broker that does not ask counts as told.
+func TestWatchesOfManyBrokersStayFew(t *testing.T) {
+	for hosts, most := range map[int]float64{4: 4.1, 300: 110, 1024: 210} {
+		text := strings.Replace(good, `"settings":{`, fmt.Sprintf(`"settings":{"balancers":%d,"contract":{"ask_within_ns":10000000000},`, hosts), 1)
+		c, err := Parse([]byte(text), none)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := c.Limits
+		if calls := float64(hosts) * 1e6 / float64(l.ListWait); calls > most || l.ListWait > 5_000_000 {
+			t.Errorf("%d brokers make %.0f calls a second, each waits %d µs", hosts, calls, l.ListWait)
+		}
+		if l.ListSpread > 1_500_000 || hosts >= 300 && l.ListSpread < 1_000_000 {
+			t.Errorf("%d brokers that move ask within %d µs", hosts, l.ListSpread)
+		}
+	}
+}
+
 func TestEnvironmentOverrides(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "c.json")
 	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -88,6 +89,7 @@
 type Client struct {
 	mu    sync.Mutex
 	addr  string
+	at    string             // where it has asked last
 	cut   context.CancelFunc // ends the watch at hand
 	moved chan struct{}      // addr has changed; holds one
 
@@ -136,8 +138,11 @@
 // Rev is the version of the list that was delivered last; NoList where none was.
 func (c *Client) Rev() int64 { return c.known.Load() }
 
-// Move turns to another address at once, also in the middle of a call: whoever moved discovery counts the broker as
-// told soon after, whether it has asked there or not. The old list stays in force until the new one is there.
+// Move turns to another address, also in the middle of a call: whoever moved discovery counts the broker as told soon
+// after, whether it has asked there or not. The old list stays in force until the new one is there.
+//
+// All brokers of a fleet are told to move together, and each has to read the whole list anew. Those of a large one wait
+// for a part of Limits.ListSpread first; the watch at the old address goes on meanwhile.
 func (c *Client) Move(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -145,6 +150,24 @@
 		return
 	}
 	c.addr = addr
+	if spread := c.lim.ListSpread; spread > 0 {
+		time.AfterFunc(clock.Duration(rand.Int64N(spread)), c.turn)
+	} else {
+		c.turnLocked()
+	}
+}
+
+// turn ends the watch at hand, if it is at another address than it should be.
+func (c *Client) turn() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.turnLocked()
+}
+
+func (c *Client) turnLocked() {
+	if c.at == c.addr { // the old address has ended the watch before
+		return
+	}
 	c.cut()
 	select {
 	case c.moved <- struct{}{}:
@@ -156,7 +179,6 @@
 // how long to wait after a failure, so a dead discovery is not hammered and the old list stays in force.
 func (c *Client) Run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
-	at := ""
 	for {
 		select {
 		case <-ctx.Done():
@@ -167,11 +189,12 @@
 		c.mu.Lock()
 		on, cut := context.WithCancel(ctx)
 		c.cut = cut
-		if at != "" && at != c.addr { // versions of one discovery mean nothing to another
+		if c.at != "" && c.at != c.addr { // versions of one discovery mean nothing to another
 			c.rev = NoList
 			c.http.CloseIdleConnections()
 		}
-		at = c.addr
+		c.at = c.addr
+		at := c.at
 		c.mu.Unlock()
 		err := c.watch(on, "http://"+at+"/catalog/members")
 		moved := on.Err() != nil
@@ -248,7 +271,8 @@
 func (c *Client) call(ctx context.Context, base string, rev int64) (*List, error) {
 	wait, q := int64(0), url.Values{}
 	if rev != NoList {
-		wait = c.lim.ListWait
+		// Of many brokers that began together, or were all told of one change, none should stay in step with the rest.
+		wait = c.lim.ListWait - rand.Int64N(c.lim.ListWait/4+1)
 		q.Set("after", strconv.FormatInt(rev, 10))
 		q.Set("wait_ms", strconv.FormatInt(wait/1000, 10))
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -47,7 +47,7 @@
 	hintLong    = 2 * time.Second        // come-back time for work beyond its reserve
 	endMargin   = 30 * time.Millisecond  // a held request is answered this long before the client leaves
 	watchWait   = 500 * time.Millisecond // first wait after a failed list call; doubles
-	watchMax    = 4 * time.Second        // longest such wait, and never over half of AskWithin
+	watchMax    = time.Second            // longest; what was missed soon counts as told
 	forget      = time.Minute            // a volume without a request for so long is forgotten
 	maxLogs     = 60                     // log lines of one instance a minute
 )
@@ -144,10 +144,10 @@
 // Scheduler decides for one host.
 type Scheduler struct {
 	cfg                Config
-	rng                *rand.Rand
+	rng, jitter        *rand.Rand
 	now, born          time.Duration
 	wakeAt, periodAt   time.Duration // next timer; next end of a period
-	askedAt, askWait   time.Duration // last list call and the wait after it
+	askAt, askWait     time.Duration // next list call, and the wait after one that fails
 	stood              time.Duration // how long this host stood still before this step
 	started, watching  bool
 	reqs               map[uint64]*request
@@ -178,7 +178,8 @@
 	cfg.Hosts, cfg.MaxAttempts = max(cfg.Hosts, 1), max(cfg.MaxAttempts, 1)
 	cfg.MeanUnits = orOne(cfg.MeanUnits)
 	return &Scheduler{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), reqs: map[uint64]*request{},
+		cfg: cfg, reqs: map[uint64]*request{},
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), jitter: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		vols: map[string]*volume{}, nodes: map[string]*node{}, turns: map[string]*turn{},
 		unserved: map[piece]time.Duration{}, askWait: watchWait, trust: 0.5, all: history{depth: 1},
 	}, nil
@@ -957,8 +958,12 @@
 
 // learn takes the node list's news.
 func (s *Scheduler) learn(ev *Event) {
-	if ev.Kind == ListFailed {
+	if ev.Kind == ListFailed { // all hosts may have failed together, and must not ask again together
 		s.watching = false
+		s.askAt = s.now + time.Duration(float64(s.askWait)*(0.5+s.jitter.Float64()))
+		if s.askWait = min(2*s.askWait, watchMax); s.cfg.AskWithin > 0 {
+			s.askWait = min(s.askWait, s.cfg.AskWithin/4)
+		}
 		return
 	}
 	s.askWait = watchWait
@@ -991,18 +996,10 @@
 	}
 }
 
-// askList keeps a watch on the node list where it must be asked for: from the start, and again after each
-// failure with a growing wait that stays well within the time after which the host counts as told.
+// askList keeps a watch on the node list where it must be asked for: at the start and after failures.
 func (s *Scheduler) askList() {
-	if !s.cfg.Ask || s.watching || s.askedAt > 0 && s.now < s.askedAt+s.askWait {
-		return
-	}
-	if s.askedAt > 0 {
-		s.askWait = min(2*s.askWait, watchMax)
-		if s.cfg.AskWithin > 0 {
-			s.askWait = min(s.askWait, s.cfg.AskWithin/2)
-		}
+	if s.cfg.Ask && !s.watching && s.now >= s.askAt {
+		s.watching = true
+		s.act = append(s.act, Action{Kind: Watch})
 	}
-	s.watching, s.askedAt = true, s.now
-	s.act = append(s.act, Action{Kind: Watch})
 }
