Pool: an attempt that finds no descriptor waits for one; test at 1,024 nodes and brokers

Need: a node's connections are a third of the descriptors, on a small limit far fewer than nodes. Seen in a new test (1,024 nodes at 64 addresses, settings for 1,024 brokers, 32 MB, 96 descriptors, 1,024 reads at once): 805 answered -BUSY, 219 served. The refusals were right (nothing had run) and came at once, but three sends of each had failed within a millisecond: Lend said "not sent" as soon as every descriptor was lent, though each is given back within a node's answer. Ruled out: the module's refusals (none of the requests is beyond its reserve) and the gate (max_open 4096).

Now Lend waits for a descriptor as long as a connection may take to come up (connect_timeout), then says so as before; an idle connection to another node makes room at once. That test now serves more than 95 of 100, from the configuration's list, after a change and after SIGHUP, within its descriptors, and drains with exit code 0. Benchmarks of a request and a timer turn by nodes.

--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -64,12 +64,14 @@
 	idle  map[string][]*Conn // by address, the last used at the end
 	quiet map[string]int64   // by address: when the last attempt there was sent that got no answer
 	open  int                // idle, lent and dialling
+	freed chan struct{}      // a descriptor may be had again; holds one
 }
 
 // New returns an empty pool for at most max connections.
 func New(lim *limits.Limits, max int, c *clock.Clock) *Pool {
 	d := &net.Dialer{KeepAlive: -1} // a silent machine answers no keep-alive either; attempts have their own time
-	return &Pool{lim: lim, max: max, clock: c, dial: d.DialContext, idle: map[string][]*Conn{}, quiet: map[string]int64{}}
+	return &Pool{lim: lim, max: max, clock: c, dial: d.DialContext, idle: map[string][]*Conn{}, quiet: map[string]int64{},
+		freed: make(chan struct{}, 1)}
 }
 
 // Get lends a connection: an idle one that still stands, or else a new one. fresh asks for one that is surely
@@ -100,6 +102,37 @@
 	return &Conn{Conn: conn, R: bufio.NewReaderSize(in, 4096), in: in, addr: addr}, nil
 }
 
+// wait is Get, but where every descriptor is in use it waits for one, as long as a connection may take to come up. There
+// may be far fewer than nodes, and an attempt gives its own back within a node's answer. Refusing at once turned four in
+// five away of a thousand requests for as many nodes.
+func (p *Pool) wait(ctx context.Context, addr string, fresh bool) (*Conn, error) {
+	c, err := p.Get(ctx, addr, fresh)
+	if !errors.Is(err, ErrFull) {
+		return c, err
+	}
+	enough := time.NewTimer(clock.Duration(p.lim.Connect)) // of waiting; the dialling has its own time
+	defer enough.Stop()
+	for errors.Is(err, ErrFull) {
+		select {
+		case <-p.freed:
+			c, err = p.Get(ctx, addr, fresh)
+		case <-enough.C:
+			return nil, ErrFull
+		case <-ctx.Done():
+			return nil, ErrFull
+		}
+	}
+	return c, err
+}
+
+// free tells one that waits for a descriptor.
+func (p *Pool) free() {
+	select {
+	case p.freed <- struct{}{}:
+	default:
+	}
+}
+
 // Lend gets a connection for one attempt, whose deadline becomes the connection's, or names the outcome where there
 // is none. open is asked once the connection is up: its node may have begun to drain meanwhile, and nothing new may
 // go there. Nothing has been written in any case.
@@ -110,7 +143,7 @@
 	}
 	dialling, cancel := context.WithTimeout(ctx, clock.Duration(left))
 	defer cancel()
-	c, err := p.Get(dialling, addr, fresh)
+	c, err := p.wait(dialling, addr, fresh)
 	if err != nil {
 		if errors.Is(err, ErrFull) || ctx.Err() != nil {
 			return nil, core.NotSent // tells nothing of the node
@@ -165,6 +198,9 @@
 	defer p.mu.Unlock()
 	if p.open < p.max {
 		p.open++
+		if p.open < p.max {
+			p.free() // two may have come free with one note
+		}
 		return true
 	}
 	var oldest string
@@ -178,6 +214,7 @@
 	}
 	p.idle[oldest][0].Close() // its place goes to the new one
 	p.idle[oldest] = p.idle[oldest][1:]
+	p.free() // more may be idle
 	return true
 }
 
@@ -185,6 +222,7 @@
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
+	p.free()
 }
 
 // Put gives back a connection whose answer was read to its end.
@@ -204,6 +242,8 @@
 	p.mu.Unlock()
 	if surplus != nil {
 		p.Drop(surplus)
+	} else {
+		p.free() // at its cost another may be opened
 	}
 }
 
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -9,6 +9,7 @@
 	"context"
 
 	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
 	"poppyarch/internal/limits"
 	"poppyarch/internal/socket"
 )
@@ -174,3 +175,39 @@
 		<-peers
 	}
 }
+
+// Where every descriptor is in use, an attempt waits for one as long as a connection may take to come up, and is then
+// told that nothing was sent. It used to be told so at once.
+func TestAttemptWaitsForADescriptor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, _ := pipes(testLimits())
+		lend := func() (*Conn, core.Outcome) {
+			return p.Lend(t.Context(), "b", false, p.clock.Now()+9_000_000, func() bool { return true })
+		}
+		var held []*Conn
+		for _, addr := range []string{"a", "b", "c"} {
+			held = append(held, get(t, p, addr, false))
+		}
+		got := make(chan core.Outcome, 9)
+		for range 2 {
+			go func() {
+				_, out := lend()
+				got <- out
+			}()
+		}
+		time.Sleep(300 * time.Millisecond)
+		if len(got) > 0 {
+			t.Fatal("did not wait")
+		}
+		p.Put(held[0]) // idle: its place goes to one that waits
+		p.Drop(held[1])
+		synctest.Wait()
+		if len(got) != 2 || <-got != core.Served || <-got != core.Served {
+			t.Fatal("two places came free, and not both were taken")
+		}
+		began := time.Now()
+		if _, out := lend(); out != core.NotSent || time.Since(began) != time.Second {
+			t.Errorf("outcome %d after %v with none free, want not sent after 1 s", out, time.Since(began))
+		}
+	})
+}
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -161,9 +161,15 @@
 
 // process starts a broker as a process of its own.
 func (r *rig) process(env ...string) (base string, c *child) {
+	r.t.Helper()
+	return r.start(r.configText(""), env...)
+}
+
+// start is process with a configuration of the caller's.
+func (r *rig) start(text []byte, env ...string) (base string, c *child) {
 	r.t.Helper()
 	path := filepath.Join(r.t.TempDir(), "config.json")
-	if err := os.WriteFile(path, r.configText(""), 0o600); err != nil {
+	if err := os.WriteFile(path, text, 0o600); err != nil {
 		r.t.Fatal(err)
 	}
 	c = &child{cmd: exec.Command(os.Args[0]), config: path, log: &lines{}}
--- /dev/null
+++ b/internal/serve/size_test.go
@@ -0,0 +1,131 @@
+package serve
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/standin"
+)
+
+// thousand lists 1,024 nodes, each with a shard of its own, over the given addresses.
+func thousand(addrs []string, state func(i int) string) (out []discovery.Target) {
+	for i := range 1024 {
+		out = append(out, discovery.Target{UID: fmt.Sprintf("s-%04d", i), Endpoint: addrs[i%len(addrs)], AZ: "room", PodGroup: i, State: state(i)})
+	}
+	return out
+}
+
+// ask sends a read for each shard, all at once, and counts the answers by their first byte. Each has exactly one.
+func ask(t *testing.T, addr, id string, shards []int) map[byte]int {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	in, got := bufio.NewReader(c), map[byte]int{}
+	var out strings.Builder
+	for i, shard := range shards {
+		words := []string{"BLK.READ", "7f3a9c21e0b4d655", fmt.Sprint(id, i),
+			fmt.Sprintf("c=object-read,t=basis,d=20000,volume=%016x,units=1,shard=%d,hosts=1024", i, shard)}
+		fmt.Fprintf(&out, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(&out, "$%d\r\n%s\r\n", len(w), w)
+		}
+	}
+	go c.Write([]byte(out.String()))
+	for range shards {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			t.Fatalf("after %v: %v", got, err)
+		}
+		if line[0] == '$' {
+			in.ReadString('\n')
+		}
+		got[line[0]]++
+	}
+	return got
+}
+
+// 1,024 nodes at 64 addresses, 1,024 brokers, the least memory and a tenth of the descriptors that the nodes would take: the
+// list is taken up whole from the configuration, by a change and after a SIGHUP; every request has its one answer, also
+// those that find no descriptor for another connection; the process stays within its descriptors and drains.
+func TestThousandNodesUnderSmallLimits(t *testing.T) {
+	const sockets = 96
+	r := newRig(t)
+	block := standin.NewBlock()
+	var addrs []string
+	for range 64 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go block.Serve(ln)
+		addrs = append(addrs, ln.Addr().String())
+	}
+	up := func(int) string { return "up" }
+	first, other := standin.NewDiscovery(), standin.NewDiscovery()
+	first.Set(thousand(addrs, up)...)
+	other.Set(thousand(addrs, up)...)
+	one, two := httptest.NewServer(first), httptest.NewServer(other)
+	t.Cleanup(one.Close)
+	t.Cleanup(two.Close)
+	known, err := json.Marshal(first.List(-1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := strings.Replace(strings.Replace(testSettings, `"balancers":1`, `"balancers":1024`, 1), `"n_shards":2`, `"n_shards":1024`, 1)
+	at := func(url string) string { return strings.TrimPrefix(url, "http://") }
+	text := func(disc string) []byte {
+		return fmt.Appendf(nil, `{"name":"t1","listen":"127.0.0.1:0","discovery":%q,"seed":"1f","known":%s,"settings":%s,
+		 "limits":{"cores":0.25,"memory_mb":32,"sockets":%d}}`, disc, known, set, sockets)
+	}
+	base, c := r.start(text(at(one.URL)))
+	addr := strings.TrimPrefix(base, "http://")
+	all, odd := make([]int, 0, 1024), []int{}
+	for i := range 1024 {
+		if all = append(all, i); i%2 == 1 {
+			odd = append(odd, i)
+		}
+	}
+	served := func(what string, got map[byte]int, want int) {
+		t.Helper()
+		if got['$'] < want*95/100 {
+			t.Errorf("%s: served %d of %d: %v", what, got['$'], want, got)
+		}
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.cmd.Process.Pid))
+		if err != nil || len(fds) > sockets {
+			t.Errorf("%s: %d descriptors of %d, %v", what, len(fds), sockets, err)
+		}
+	}
+	served("from the configuration", ask(t, addr, "a", all), len(all))
+	first.Set(thousand(addrs, func(i int) string { return []string{"up", "draining"}[i%2] })...)
+	eventually(t, "the change is known", func() bool { return ask(t, addr, fmt.Sprint("b", time.Now().UnixNano()), odd[:1])['-'] == 1 })
+	if got := ask(t, addr, "c", odd); got['-'] != len(odd) {
+		t.Errorf("draining nodes: %v", got)
+	}
+	if err := os.WriteFile(c.config, text(at(two.URL)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.cmd.Process.Signal(syscall.SIGHUP)
+	eventually(t, "the list of the new address is known", func() bool {
+		return ask(t, addr, fmt.Sprint("d", time.Now().UnixNano()), odd[:1])['$'] == 1
+	})
+	served("after SIGHUP", ask(t, addr, "e", all), len(all))
+	c.cmd.Process.Signal(syscall.SIGTERM)
+	if err := c.cmd.Wait(); err != nil {
+		t.Errorf("drain: %v\n%s", err, c.log.text.String())
+	}
+	c.killed = true
+}
--- /dev/null
+++ b/policy/bench_test.go
@@ -0,0 +1,53 @@
+package policy
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// What a request and a timer turn cost against the number of listed nodes: docs/measurements/full-fleet.md.
+
+func benchRig(b *testing.B, nodes int) *rig {
+	s, err := New(testConfig())
+	if err != nil {
+		b.Fatal(err)
+	}
+	r := &rig{s: s, now: time.Hour}
+	r.step(Event{Kind: ListFull, Members: fleetOf(nodes)})
+	return r
+}
+
+func benchRequests(b *testing.B, shard func(i, nodes int) int) {
+	for _, nodes := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			r := benchRig(b, nodes)
+			id := uint64(0)
+			for i := 0; b.Loop(); i++ {
+				id++
+				r.now += time.Millisecond
+				ev := r.arrive(id, 0, 0, fmt.Sprint("v", i%64), "", 2)
+				ev.Arrival.Shard = shard(i, nodes)
+				for _, a := range r.step(ev) {
+					if a.Kind == Send {
+						r.step(answered(a.ID, a.Node, Served))
+					}
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkRead(b *testing.B)      { benchRequests(b, func(i, nodes int) int { return i % nodes }) }
+func BenchmarkNewObject(b *testing.B) { benchRequests(b, func(int, int) int { return -1 }) }
+
+func BenchmarkTimerTurn(b *testing.B) {
+	for _, nodes := range []int{16, 128, 1024} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			r := benchRig(b, nodes)
+			for b.Loop() {
+				r.after(period)
+			}
+		})
+	}
+}
