Zones that the settings do not name differ from the first one and from each other

Need: a list may name more zones than the settings. Now an unknown name gets a number of its own. Test: TestZonesThatTheSettingsDoNotName fails without it.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -46,6 +48,17 @@
 	"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone,
 }
 
+// zone numbers a zone by its name. The list may name more than the settings do, and those must differ from each other and
+// from all that are named: work whose repeats one zone drops may go again in that zone only.
+func zone(name string, zones []string) int {
+	if i := slices.Index(zones, name); i >= 0 || name == "" {
+		return max(i, 0)
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return len(zones) + int(h.Sum32())
+}
+
 // Nodes turns a list into the core's form. zones numbers the zones by their names.
 func (l *List) Nodes(zones []string) ([]core.Node, error) {
 	out := make([]core.Node, 0, len(l.Targets))
@@ -61,15 +74,10 @@
 			return nil, fmt.Errorf("targets[%d].endpoint: missing", i)
 		}
 		n := core.Node{ID: t.UID, Addr: t.Endpoint, Objects: t.ObjectEndpoint, Shard: t.PodGroup, State: state,
-			Started: t.BootMS * 1000}
+			Zone: zone(t.AZ, zones), Started: t.BootMS * 1000}
 		if n.Objects == "" {
 			n.Objects = n.Addr
 		}
-		for z, name := range zones {
-			if name == t.AZ {
-				n.Zone = z
-			}
-		}
 		out = append(out, n)
 	}
 	return out, nil
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -105,6 +105,22 @@
 	}
 }
 
+// A list may name more zones than the settings. Taken for the first of these, they made work whose repeats one zone drops go
+// again in another.
+func TestZonesThatTheSettingsDoNotName(t *testing.T) {
+	list := discovery.List{Targets: []discovery.Target{target("a", "up"), target("b", "up"), target("c", "up"), target("d", "up")}}
+	for i, az := range []string{"room", "hall", "yard", "hall"} {
+		list.Targets[i].AZ = az
+	}
+	n, err := list.Nodes([]string{"room", "cellar"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n[0].Zone != 0 || n[1].Zone < 2 || n[2].Zone < 2 || n[1].Zone == n[2].Zone || n[1].Zone != n[3].Zone {
+		t.Errorf("zones %d %d %d %d", n[0].Zone, n[1].Zone, n[2].Zone, n[3].Zone)
+	}
+}
+
 // eventually waits for what must come.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
