Crowded discovery: changes first, whole list later; a request costs no walk over all nodes

Two things read off the logs and the profile. 1. A whole list that fails is now followed by a call for what is new, a sixth of the work; the whole list comes later, spread by lot. Each turn walked all nodes to dispatch, and each read to find its shard's.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -104,7 +104,9 @@
 	zones []string
 	known atomic.Int64 // rev, for others
 	rev   int64
-	grace int64 // how much later than its wait an answer may come
+	whole debt      // whether the whole list is still to be read, whatever version is known
+	from  time.Time // and not before, where it is to be read later
+	grace int64     // how much later than its wait an answer may come
 	http  *http.Client
 	lim   *limits.Limits
 	give  func(nodes []core.Node, full bool)
@@ -198,7 +200,7 @@
 		on, cut := context.WithCancel(ctx)
 		c.cut = cut
 		if c.at != "" && c.at != c.addr { // versions of one discovery mean nothing to another
-			c.rev = NoList
+			c.whole = now
 			c.http.CloseIdleConnections()
 		}
 		c.at = c.addr
@@ -225,7 +227,12 @@
 func (c *Client) watch(ctx context.Context, base string) error {
 	for {
 		asked := time.Now()
-		l, err := c.call(ctx, base, c.rev)
+		rev := c.rev
+		if c.whole == now || c.whole == later && asked.After(c.from) {
+			rev = NoList
+		}
+		l, err := c.call(ctx, base, rev)
+		c.settle(err, rev, l != nil && l.All)
 		if err == nil && l.Rev < c.rev {
 			// Discovery has lost its history: only a whole list says what is left.
 			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
@@ -252,12 +259,43 @@
 		c.give(nodes, l.All)
 		c.tell(nil)
 		c.known.Store(l.Rev)
+		if l.All {
+			c.log.Info("discovery: whole list read", "rev", l.Rev, "nodes", len(nodes))
+		}
 		for _, n := range nodes {
 			c.log.Debug("discovery: node", "node", n.ID, "state", n.State, "addr", n.Addr, "rev", l.Rev)
 		}
 	}
 }
 
+// debt is the whole list that a broker still has to read at an address it has moved to.
+type debt uint8
+
+const (
+	none  debt = iota
+	now        // before all else
+	after      // once a call for what is new has been answered
+	later      // from some time on
+)
+
+// settle follows the debt after a call. A discovery that cannot give whole lists to a fleet that has just moved to it may
+// still tell what is new, for a fraction of the work: most often it is the same service at another address, and then that is
+// all there is to know. The whole list follows when the rush is over.
+func (c *Client) settle(err error, rev int64, all bool) {
+	switch {
+	case err == nil && all:
+		c.whole = none
+	case err != nil && c.whole != none && rev == NoList && c.rev != NoList:
+		c.whole = after
+	case err == nil && c.whole == after:
+		c.whole = later
+		c.from = time.Now().Add(clock.Duration(c.lim.ListGrace + rand.Int64N(wholeSpread*c.lim.ListSpread+1)))
+	}
+}
+
+// wholeSpread is how many times Limits.ListSpread the whole lists are spread over that could not be had at once.
+const wholeSpread = 6
+
 // patience is how many times its usual grace an answer gets where discovery is slow.
 const patience = 8
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -121,6 +122,41 @@
 	}
 }
 
+// Where a discovery cannot give the whole list to a broker that has moved there, what is new is asked for instead, and the
+// whole list once it can be had.
+func TestMoveToACrowdedDiscovery(t *testing.T) {
+	old, other := standin.NewDiscovery(), standin.NewDiscovery()
+	for _, d := range []*standin.Discovery{old, other} {
+		d.Set(target("a", "up"))
+		d.Set(target("b", "up"))
+	}
+	other.Set(target("b", "draining"))
+	var whole, crowded atomic.Int32
+	crowded.Store(1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.RawQuery == "" && crowded.Load() > 0 {
+			whole.Add(1)
+			http.Error(w, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		other.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	lim := testLimits()
+	lim.ListWait, lim.ListGrace = 200_000, 300_000
+	table, c := client(t, old, lim)
+	eventually(t, "b is up", state(table, "b")(policy.Ready))
+	c.Move(strings.TrimPrefix(srv.URL, "http://"))
+	eventually(t, "b drains", state(table, "b")(policy.Draining))
+	if whole.Load() != 1 {
+		t.Errorf("the whole list was asked for %d times before the news", whole.Load())
+	}
+	eventually(t, "the whole list is asked for again", func() bool { return whole.Load() > 1 })
+	crowded.Store(0)
+	other.Set(target("a", "removed"))
+	eventually(t, "a is gone", state(table, "a")(policy.Gone))
+}
+
 // eventually waits for what must come.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -162,3 +162,25 @@
 		t.Errorf("a node that serves aims of 1 s and 4 s is held to %.1f s", aim)
 	}
 }
+
+// Nodes that left long ago are dropped from what a new object may choose from, and one that comes back may be chosen.
+func TestNodesThatLeftAreNotPicked(t *testing.T) {
+	r := newRig(t, testConfig(), fleetOf(8)...)
+	r.after(period, Event{Kind: ListFull, Members: fleetOf(3)})
+	for range 4 {
+		r.after(40 * time.Second) // past what a node that left is kept for
+	}
+	if n := len(r.s.list); n != 3 {
+		t.Fatalf("%d nodes are kept", n)
+	}
+	seen := map[string]bool{}
+	for round := range 2 {
+		for range 60 {
+			seen[r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}).Node] = true
+		}
+		if want := 3 + round; len(seen) != want || r.s.pick(&request{a: Arrival{Shard: 7, Units: 1}}) == nil != (round == 0) {
+			t.Fatalf("round %d: new objects go to %v", round, seen)
+		}
+		r.after(period, Event{Kind: ListChanged, Members: []Member{{Node: "n7", Shard: 7}}})
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -153,7 +153,8 @@
 	reqs               map[uint64]*request
 	vols               map[string]*volume
 	nodes              map[string]*node
-	list               []*node
+	list, busy         []*node         // all; those where something waits
+	byShard            map[int][]*node // -1: all
 	turns              map[string]*turn
 	ends, todo         []*request // what waits by its end; news of this batch to decide on once all of it is in
 	act                []Action
@@ -178,7 +179,7 @@
 	cfg.Hosts, cfg.MaxAttempts = max(cfg.Hosts, 1), max(cfg.MaxAttempts, 1)
 	cfg.MeanUnits = orOne(cfg.MeanUnits)
 	return &Scheduler{
-		cfg: cfg, reqs: map[uint64]*request{},
+		cfg: cfg, reqs: map[uint64]*request{}, byShard: map[int][]*node{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), jitter: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		vols: map[string]*volume{}, nodes: map[string]*node{}, turns: map[string]*turn{},
 		unserved: map[piece]time.Duration{}, askWait: watchWait, trust: 0.5, all: history{depth: 1},
@@ -219,9 +220,10 @@
 		s.tidy()
 		s.endPeriod()
 	}
-	for _, n := range s.list {
+	s.busy = slices.DeleteFunc(s.busy, func(n *node) bool {
 		s.dispatch(n)
-	}
+		return n.queued <= 0
+	})
 	s.askList()
 	s.wake()
 	return s.act
@@ -491,6 +493,9 @@
 	}
 	i := sort.Search(len(f.queue), func(i int) bool { return f.queue[i].start > r.start })
 	f.queue, r.waiting = slices.Insert(f.queue, i, r), true
+	if n.queued <= 0 {
+		s.busy = append(s.busy, n)
+	}
 	n.queued += r.a.Units
 	r.vol.waiting += r.a.Units
 }
@@ -572,6 +577,7 @@
 func (s *Scheduler) tidy() {
 	gone := func(n *node) bool { return !n.listed && s.now > n.leftAt+forget+s.cfg.Warm && len(n.out) == 0 }
 	s.list = slices.DeleteFunc(s.list, gone)
+	s.byShard[-1] = s.list
 	maps.DeleteFunc(s.nodes, func(_ string, n *node) bool { return gone(n) })
 	maps.DeleteFunc(s.unserved, func(_ piece, until time.Duration) bool { return until <= s.now })
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.queue) == 0 && t.rest <= s.now })
@@ -589,10 +595,12 @@
 		for _, r := range n.out { // what is still out tells of a long stay sooner than its answer would
 			if !r.long && (s.now-r.sentAt).Seconds() > pauseAim*n.aim {
 				r.long = true
-				s.sway(n.aim, true)
+				s.sway(n.aim, -1)
 			}
 		}
-		s.age(n)
+		if s.all.lat > 0 {
+			s.age(n)
+		}
 		least := math.Inf(1)
 		for _, f := range n.flows {
 			if len(f.queue) > 0 {
@@ -649,9 +657,6 @@
 // well, or it would outlast its cause by minutes at a host that comes by seldom. Where the node was silent,
 // that goes by how often such nodes have answered of late.
 func (s *Scheduler) age(n *node) {
-	if s.all.lat == 0 {
-		return
-	}
 	part, usual, d := period.Seconds()/nodeAge.Seconds(), s.all.lat/orOne(n.Capacity), s.all.depth
 	if n.depth < 1 && n.suspect {
 		part *= s.trust * s.trust
@@ -701,8 +706,8 @@
 		n.history.learn(lat, ev.Outcome == TimedOut, n.aim, n.queued > 0)
 		s.outcomes.add(s.now, 1) // of all nodes the middle counts, so that a few bad ones do not speak for the rest
 		s.all.lat += math.Copysign(min(s.gain(n.aim)*n.aim, math.Abs(lat-s.all.lat)), lat-s.all.lat)
-		if long := lat > pauseAim*n.aim; !r.long && (long || ev.Outcome == Served) {
-			s.sway(n.aim, long)
+		if up := math.Copysign(1, pauseAim*n.aim-lat); !r.long && (up < 0 || ev.Outcome == Served) {
+			s.sway(n.aim, up)
 		}
 	case TurnedAway:
 		n.depth = max(minDepth, n.depth/2) // a full queue: longer than any stay that pays
@@ -742,13 +747,9 @@
 // gain is the weight of one stay in what is known of all nodes: rare ones turn it within allTime too.
 func (s *Scheduler) gain(aim float64) float64 { return 1 / (1 + allTime*aim*s.outcomes.rate(s.now)) }
 
-// sway moves D of all nodes together by one stay. It falls while most are too long.
-func (s *Scheduler) sway(aim float64, long bool) {
-	g := s.gain(aim)
-	if long {
-		g = -g
-	}
-	s.all.depth = max(allLeast, min(1, s.all.depth*(1+g)))
+// sway moves D of all nodes together by one stay, up by 1 or -1: it falls while most are too long.
+func (s *Scheduler) sway(aim, up float64) {
+	s.all.depth = max(allLeast, min(1, s.all.depth*(1+up*s.gain(aim))))
 }
 
 // wait is how long u units queued here are likely to take until sent, in seconds.
@@ -855,9 +856,8 @@
 	n.aim = min(r.class.Aim.Seconds(), n.aim+latGain*(r.class.Aim.Seconds()-n.aim))
 	n.out, n.sentAt = append(n.out, r), s.now
 	r.attempts, r.out, r.sentAt, r.node, r.long = r.attempts+1, r.out+1, s.now, n, false
-	// Out until its answer would be late. Where nodes drop what timed out, their queues cannot grow beyond the
-	// aim however many hosts send; elsewhere it brings word of a queue early. Covers hung, dead and lossy nodes
-	// too. It may lose late answers that still pay.
+	// Out until its answer would be late: where nodes drop what timed out, their queues cannot grow beyond the
+	// aim however many hosts send. Covers hung, dead and lossy nodes too; may lose late answers that still pay.
 	after := max(min(r.aimAt, r.a.Due)-s.now, tickBusy)
 	s.act = append(s.act, Action{Kind: Send, ID: r.id, Node: n.Node, After: after})
 }
@@ -890,8 +890,8 @@
 func (s *Scheduler) pick(r *request) *node {
 	var best *node
 	cost := math.Inf(1)
-	for _, n := range s.list {
-		if !n.listed || n.State != Ready || r.a.Shard >= 0 && n.Shard != r.a.Shard {
+	for _, n := range s.byShard[max(r.a.Shard, -1)] {
+		if !n.listed || n.State != Ready {
 			continue
 		}
 		c := n.lat + s.wait(n, n.queued+r.a.Units*float64(len(n.out)))
@@ -985,6 +985,10 @@
 		}
 		n.Member, n.listed, n.leftAt = *m, m.State != Gone, s.now
 	}
+	s.byShard = map[int][]*node{-1: s.list}
+	for _, n := range s.list {
+		s.byShard[n.Shard] = append(s.byShard[n.Shard], n)
+	}
 	for _, n := range s.list {
 		for _, f := range n.flows { // what waits for a node that takes nothing new goes elsewhere or is refused
 			for (!n.listed || n.State != Ready) && len(f.queue) > 0 {
