Discovery: a whole list that fails no longer ends the watch after a move

At fault: watch() returned on a failed whole list, so the module waited before the next call. Now the call for what is new follows at once; only if that fails too does the watch end.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -233,6 +233,9 @@
 		}
 		l, err := c.call(ctx, base, rev)
 		c.settle(err, rev, l != nil && l.All)
+		if err != nil && rev == NoList && c.rev != NoList && ctx.Err() == nil {
+			continue // with what is new, at once: waiting would end the watch, and news go unheard meanwhile
+		}
 		if err == nil && l.Rev < c.rev {
 			// Discovery has lost its history: only a whole list says what is left.
 			c.log.Warn("discovery: version went back", "from", c.rev, "to", l.Rev)
