--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -34,7 +34,7 @@
 }
 
 // client is watch for tests that need the client too.
-func client(t *testing.T, h http.Handler, lim *limits.Limits) (*core.Nodes, *discovery.Client) {
+func client(t *testing.T, h http.Handler, lim *limits.Limits, tell ...func(error)) (*core.Nodes, *discovery.Client) {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	f, err := policy.NewFacade(policy.Config{Ask: true, AskWithin: time.Second,
@@ -52,6 +52,9 @@
 	})
 	c := discovery.New(strings.TrimPrefix(srv.URL, "http://"), discovery.NoList, []string{"room"}, table, f, lim,
 		slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, f := range tell {
+		c.Tell(f)
+	}
 	wait.Go(func() { core.Loop(ctx, f, clock.New()) })
 	wait.Go(func() { c.Run(ctx) })
 	return table, c
@@ -144,10 +147,18 @@
 	t.Cleanup(srv.Close)
 	lim := testLimits()
 	lim.ListWait, lim.ListGrace = 200_000, 300_000
-	table, c := client(t, old, lim)
+	var ended atomic.Int32 // watches: each costs a wait in which no news is heard
+	table, c := client(t, old, lim, func(err error) {
+		if err != nil {
+			ended.Add(1)
+		}
+	})
 	eventually(t, "b is up", state(table, "b")(policy.Ready))
 	c.Move(strings.TrimPrefix(srv.URL, "http://"))
 	eventually(t, "b drains", state(table, "b")(policy.Draining))
+	if ended.Load() > 0 {
+		t.Error("the failed whole list has ended the watch")
+	}
 	if whole.Load() != 1 {
 		t.Errorf("the whole list was asked for %d times before the news", whole.Load())
 	}
