One broker of many no longer refuses work inside a reserve by what it alone has seen

Cause: policy.go admitted refuses reserved work by 10 D, and D follows about two answers in a quarter of an aim here, most of them from the few nodes that hold this broker's volumes. Harmless where four brokers see a quarter of all answers each; here each sees one in eighty, and a tenth of all brokers were wrong at any time.

Change: the factor is the number of brokers where that is more than ten.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -392,10 +392,10 @@
 
 // admitted is the part of the work that goes on to a node at all, where D of all nodes together is under 1. A
 // pause between the sends to one node holds nothing back where each of many hosts comes by less often.
-// What is inside a reserve goes on until the rest has nearly stopped.
+// What is inside a reserve goes on until the rest has nearly stopped: one host of many sees little.
 func (s *Scheduler) admitted(r *request) float64 {
 	if r.reserved {
-		return 10 * s.all.depth
+		return float64(max(10, s.cfg.Hosts)) * s.all.depth
 	}
 	return s.all.depth * s.all.depth
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -672,3 +672,40 @@
 		t.Errorf("a new object waits at %s", n.Node)
 	}
 }
+
+// One bad node that holds much of what this host's volumes ask for brings D of all nodes together down to its least value
+// here. Work inside its reserve still goes to the others; it was refused by lot, half of it at that value.
+func TestReserveIsNotRefusedForWhatOneNodeTells(t *testing.T) {
+	for seed := range uint64(20) {
+		cfg := testConfig()
+		cfg.Seed, cfg.Hosts = seed, 80
+		r := newRig(t, cfg, Member{Node: "bad", Shard: 1}, Member{Node: "good", Shard: 2})
+		at := func(id uint64, shard int, vol string) Event {
+			ev := r.arrive(id, 0, 0, vol, "", 1)
+			ev.Arrival.Shard = shard
+			return ev
+		}
+		for id := range uint64(30) {
+			sent := of(r.after(100*ms, at(id, 1, "v")), Send)
+			for range 10 { // not at once: the clock that jumps means that this host stood still
+				r.after(100 * ms)
+			}
+			for _, x := range sent {
+				r.step(answered(x, "bad", TimedOut))
+			}
+		}
+		if r.s.all.depth > 2*allLeast {
+			t.Fatalf("D of all nodes is %.2f after time-outs alone", r.s.all.depth)
+		}
+		r.s.trust = 0.5 // what is tried at silent nodes is served as often as not, so that nothing pauses for that
+		for id := uint64(100); id < 120; id++ {
+			acts := r.after(100*ms, at(id, 2, "w"))
+			if len(of(acts, Refuse)) > 0 {
+				t.Fatalf("seed %d: request %d inside its reserve was refused", seed, id)
+			}
+			for _, x := range of(acts, Send) {
+				r.step(answered(x, "good", Served))
+			}
+		}
+	}
+}
