New objects go to nodes a connection stands to, by the price of a new one that the settings tell

A node is also measured but once in 13 s where the broker goes to all of them alike.

Cause: policy.go pick weighs stays only; a node without a connection costs it nothing. Harmless in four brokers.

Change: pick adds the told price (deductions.handshake, 0.08 of a request here) times the aim to nodes that have not answered within NodeFresh.

Ruled out: longer idle times alone.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -430,6 +430,7 @@
 		l.NodeIdle = min(l.NodeIdle, v/1000/3)
 		l.NodeFresh = min(l.NodeFresh, l.NodeIdle/2)
 	}
+	c.Policy.Keep = time.Duration(l.NodeFresh) * time.Microsecond
 	// One discovery serves all brokers and bears some hundreds of calls a second at best. A longer wait costs no safety:
 	// what a call should have told counts as told so long after its wait is over. A list without news has no lines, a
 	// whole one has a line for each node, so the move of a fleet is spread further than its watches.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,8 +32,11 @@
 		FurtherRatio *float64 `json:"further_ratio"`
 		LookBack     int64    `json:"look_back_ns"`
 	} `json:"contract"`
-	Discovery string `json:"discovery"`
-	Limits    struct {
+	Discovery  string `json:"discovery"`
+	Deductions struct {
+		Handshake float64 `json:"handshake"`
+	} `json:"deductions"`
+	Limits struct {
 		RetryAfter bool  `json:"retry_after"`
 		MaxRetry   int64 `json:"max_retry_after_ns"`
 		SendCap    int   `json:"send_cap"`
@@ -79,7 +82,7 @@
 		TipWindow: time.Duration(c.TipAfter), ColdUnits: in.Specifics.ColdBears,
 		KeyQuiet: time.Duration(c.KeyQuiet), BudgetFree: c.FreeResends, BudgetWindow: time.Duration(c.LookBack),
 		MeanUnits: in.Specifics.MeanUnits, MaxUnits: in.Specifics.MaxUnits,
-		ShareWorth: in.Specifics.FairWorth,
+		ShareWorth: in.Specifics.FairWorth, Handshake: in.Deductions.Handshake,
 	}
 	if c.LookBack > 0 {
 		out.Budget = true
--- a/policy/api.go
+++ b/policy/api.go
@@ -66,6 +66,8 @@
 	BudgetWindow                    time.Duration
 	MeanUnits, MaxUnits, ShareWorth float64
 	Home                            int           // zone of this host, from 1; 0: new objects go anywhere alike
+	Handshake                       float64       // price of a new connection, in parts of a mean request's worth
+	Keep                            time.Duration // so long after an answer the connection still stands for any work
 	Far                             time.Duration // what a node in another zone has to be better by, for new objects
 }
 
@@ -106,7 +108,8 @@
 	bad = append(bad, negative("hosts", float64(c.Hosts)), negative("max attempts", float64(c.MaxAttempts)),
 		negative("warm", c.Warm.Seconds()), negative("tip window", c.TipWindow.Seconds()),
 		negative("key quiet", c.KeyQuiet.Seconds()), negative("budget window", c.BudgetWindow.Seconds()),
-		negative("ask within", c.AskWithin.Seconds()), negative("home", float64(c.Home)), negative("far", c.Far.Seconds()))
+		negative("ask within", c.AskWithin.Seconds()), negative("home", float64(c.Home)), negative("far", c.Far.Seconds()),
+		negative("handshake", c.Handshake), negative("keep", c.Keep.Seconds()))
 	for _, err := range bad {
 		if err != nil {
 			return err
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -176,9 +176,9 @@
 	seen := map[string]bool{}
 	for round := range 2 {
 		for range 60 {
-			seen[r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}).Node] = true
+			seen[r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: -1, Units: 1}}).Node] = true
 		}
-		if want := 3 + round; len(seen) != want || r.s.pick(&request{a: Arrival{Shard: 7, Units: 1}}) == nil != (round == 0) {
+		if want := 3 + round; len(seen) != want || r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: 7, Units: 1}}) == nil != (round == 0) {
 			t.Fatalf("round %d: new objects go to %v", round, seen)
 		}
 		r.after(period, Event{Kind: ListChanged, Members: []Member{{Node: "n7", Shard: 7}}})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -630,9 +630,7 @@
 // ---- depth ----
 
 // history is what outcomes told of latency, in seconds, and the depth that follows.
-type history struct {
-	lat, depth float64
-}
+type history struct{ lat, depth float64 }
 
 // learn takes one outcome. One that timed out tells only that it would have taken longer.
 func (h *history) learn(lat float64, timedOut bool, aim float64, wanted bool) {
@@ -886,8 +884,7 @@
 
 // pick finds the node of a request's shard, or for a new object the one with the least expected wait.
 func (s *Scheduler) pick(r *request) *node {
-	var best *node
-	cost := math.Inf(1)
+	best, cost := (*node)(nil), math.Inf(1)
 	for _, n := range s.byShard[max(r.a.Shard, -1)] {
 		if !n.listed || n.State != Ready {
 			continue
@@ -902,6 +899,9 @@
 		if s.cfg.Home > 0 && n.Zone+1 != s.cfg.Home {
 			c += s.cfg.Far.Seconds()
 		}
+		if s.now > n.heardAt+s.cfg.Keep { // a new connection costs so much of what an answer within the aim pays
+			c += s.cfg.Handshake * r.class.Aim.Seconds()
+		}
 		c += errorCost * n.errors * n.aim // one that fails fast would draw all new objects
 		c = max(c, leastStay) * (1 + 0.2*s.rng.Float64())
 		if c < cost || best == nil {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -637,7 +637,7 @@
 		r.after(0, Event{Kind: ListFull, Members: []Member{{Node: "b", Shard: 1, Capacity: capacity}, {Node: "c", Shard: 2, Capacity: 1}}})
 		strong := 0
 		for range 200 {
-			if r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}).Node == "b" {
+			if r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: -1, Units: 1}}).Node == "b" {
 				strong++
 			}
 		}
@@ -660,15 +660,15 @@
 	r := newRig(t, cfg)
 	r.after(0, Event{Kind: ListFull, Members: []Member{{Node: "near", Shard: 0, Zone: 1}, {Node: "far", Shard: 1, Zone: 0}}})
 	for range 50 {
-		if n := r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}); n.Node != "near" {
+		if n := r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: -1, Units: 1}}); n.Node != "near" {
 			t.Fatalf("a new object goes to %s", n.Node)
 		}
 	}
-	if n := r.s.pick(&request{a: Arrival{Shard: 1, Units: 1}}); n.Node != "far" {
+	if n := r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: 1, Units: 1}}); n.Node != "far" {
 		t.Errorf("an object on shard 1 is sought at %s", n.Node)
 	}
 	r.s.nodes["near"].lat = 0.2
-	if n := r.s.pick(&request{a: Arrival{Shard: -1, Units: 1}}); n.Node != "far" {
+	if n := r.s.pick(&request{class: &r.s.cfg.Classes[0], a: Arrival{Shard: -1, Units: 1}}); n.Node != "far" {
 		t.Errorf("a new object waits at %s", n.Node)
 	}
 }
@@ -709,3 +709,46 @@
 		}
 	}
 }
+
+// Where a new connection has a price, new objects go to nodes that this host has a connection to, unless others are better by
+// more than the price. At eighty hosts and sixty nodes each of a host's objects went to a node it had not met for long.
+func TestNewObjectsGoWhereConnectionsStand(t *testing.T) {
+	unmet := func(price float64, slow string) (sends, atSlow int) {
+		cfg := testConfig()
+		cfg.Handshake, cfg.Keep = price, 5*time.Second
+		members := make([]Member, 60)
+		for i := range members {
+			members[i] = Member{Node: fmt.Sprint("n", i), Shard: i}
+		}
+		r := newRig(t, cfg, members...)
+		heard := map[string]time.Duration{}
+		for id := range uint64(300) {
+			ev := r.arrive(id, 1, 0, "v", fmt.Sprint(id), 2)
+			ev.Arrival.Shard = -1
+			for _, a := range r.after(100*ms, ev) {
+				if a.Kind != Send {
+					continue
+				}
+				if at, ok := heard[a.Node]; id >= 100 && (!ok || r.now > at+cfg.Keep) {
+					sends++
+				}
+				took := 50 * ms
+				if a.Node == slow { // by more than the price is worth
+					took, atSlow = 190*ms, atSlow+1
+				}
+				r.after(took)
+				r.step(answered(a.ID, a.Node, Served))
+				heard[a.Node] = r.now
+			}
+		}
+		return sends, atSlow
+	}
+	free, _ := unmet(0, "")
+	priced, _ := unmet(0.08, "")
+	if priced > free/4 || free < 50 {
+		t.Errorf("of 200 objects %d went to nodes without a connection, %d where one has a price", free, priced)
+	}
+	if _, n := unmet(0.08, "n7"); n > 10 {
+		t.Errorf("%d of 300 objects went to the one slow node", n)
+	}
+}
