Discovery: the longest wait after failed list calls follows the size of the fleet too

Change: the wait grows to four times the first one: 2 s at few brokers, 6.4 s at 80, 8 s at 100 and more. Test: two minutes of failures at 4, 80 and 1,024 brokers.

--- a/policy/discovery_test.go
+++ b/policy/discovery_test.go
@@ -68,3 +68,33 @@
 		t.Errorf("half of the hosts wait more than %v", middle)
 	}
 }
+
+// While discovery fails a host asks on: the more hosts, the more seldom each, but never less often than the list may go
+// unasked for. Few hosts are no crowd, and should not be without news for long once discovery is back.
+func TestAskingGoesOnBySizeOfTheFleet(t *testing.T) {
+	for hosts, bound := range map[int][2]time.Duration{4: {250 * ms, 3 * time.Second}, 80: {800 * ms, 7500 * ms}, 1024: {time.Second, 7500 * ms}} {
+		cfg := testConfig()
+		cfg.Ask, cfg.Hosts = true, hosts
+		s, err := New(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, last, calls := &rig{t: t, s: s, now: time.Hour}, time.Duration(0), 0
+		for range 6000 { // two minutes
+			for _, a := range r.step(Event{Kind: TimerFired, Token: 1}) {
+				if a.Kind != Watch {
+					continue
+				}
+				if gap := r.now - last; last > 0 && (gap < bound[0]-20*ms || gap > bound[1]+40*ms) {
+					t.Errorf("%d hosts: %v between two calls", hosts, gap)
+				}
+				last, calls = r.now, calls+1
+				r.step(Event{Kind: ListFailed})
+			}
+			r.now += 20 * ms
+		}
+		if calls < 15 {
+			t.Errorf("%d hosts: %d calls in two minutes", hosts, calls)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,7 +49,7 @@
 	endMargin   = 30 * time.Millisecond  // a held request is answered this long before the client leaves
 	watchEach   = 20 * time.Millisecond  // each host's part of the first wait for a list
 	watchWait   = 500 * time.Millisecond // least of these; doubles with each failure
-	watchMax    = 8 * time.Second        // longest wait; the first is at most a quarter
+	watchMost   = 2 * time.Second        // most of these; they grow to four times as much
 	forget      = time.Minute            // a volume without a request for so long is forgotten
 	maxLogs     = 60                     // log lines of one instance a minute
 )
@@ -182,7 +182,7 @@
 		cfg: cfg, reqs: map[uint64]*request{}, byShard: map[int][]*node{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), jitter: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		vols: map[string]*volume{}, nodes: map[string]*node{}, turns: map[string]*turn{},
-		askFirst: max(watchWait, min(watchMax/4, time.Duration(cfg.Hosts)*watchEach)),
+		askFirst: max(watchWait, min(watchMost, time.Duration(cfg.Hosts)*watchEach)),
 		unserved: map[piece]time.Duration{}, trust: 0.5, all: history{depth: 1},
 	}, nil
 }
@@ -957,9 +957,9 @@
 // learn takes the node list's news.
 func (s *Scheduler) learn(ev *Event) {
 	if ev.Kind >= ListFailed { // asked again at once by all, a queue that has got long never empties
-		first, most := s.askFirst, watchMax
+		first, most := s.askFirst, 4*s.askFirst
 		if ev.Kind == ListLost { // a second more, and it would be held to what it cannot know
-			first, most = watchWait, watchMax/8
+			first, most = watchWait, 2*watchWait
 		}
 		wait := min(first<<min(s.failed, 4), most, cmp.Or(s.cfg.AskWithin, time.Minute)/2)
 		s.watching, s.failed = false, s.failed+1
