Slow whole lists at large fleets, dear connections, list_told: found in a second reading

Seen by reading the whole change again and by taking out each guard in turn:

At 300 brokers a watch waits 3 s, and learn (discovery.go) left every call, the whole list's too, no more than ListGrace beyond its wait (4 s less 3 s). A broker without any list at a discovery that needs 3 s for one would never have got it. The cap now counts the wait of the call at hand; a whole list may take 4 s. TestPriceOfConnectionsIsBounded. 3. list_told could be set to 0 or less without a word; now it is refused by its name. Nothing tested that Keep and the price reach the module. 4.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -466,7 +466,7 @@
 		"max_id": int64(l.MaxID), "max_params": int64(l.MaxParams), "client_first": l.ClientFirst,
 		"client_stall": l.ClientStall, "client_send": l.ClientSend, "client_lull": l.ClientLull, "client_idle": l.ClientIdle,
 		"max_args": int64(l.MaxArgs), "max_value": int64(l.MaxValue), "connect": l.Connect, "node_idle": l.NodeIdle, "answer_rest": l.AnswerRest,
-		"list_wait": l.ListWait, "list_grace": l.ListGrace, "client_write": l.ClientWrite,
+		"list_wait": l.ListWait, "list_grace": l.ListGrace, "list_told": l.ListTold, "client_write": l.ClientWrite,
 		"max_object": l.MaxObject, "object_buffer": int64(l.ObjectBuffer), "object_stall": l.ObjectStall,
 	} {
 		if v <= 0 {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -168,3 +168,19 @@
 		}
 	}
 }
+
+// What the module is told of connections comes from the pool's own figure and the settings' price, and list_told has to be a time.
+func TestConnectionsAndListsOfTheModule(t *testing.T) {
+	priced := strings.Replace(good, `"limits":{"keepalive_ns"`, `"deductions":{"handshake":0.08},"limits":{"keepalive_ns"`, 1)
+	c, err := Parse([]byte(priced), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Policy.Handshake != 0.08 || c.Policy.Keep.Microseconds() != c.Limits.NodeFresh || c.Policy.Keep <= 0 {
+		t.Errorf("price %v, kept %v, fresh for %d µs", c.Policy.Handshake, c.Policy.Keep, c.Limits.NodeFresh)
+	}
+	_, err = Parse([]byte(strings.Replace(good, `"settings":`, `"tuning":{"list_told":0},"settings":`, 1)), none)
+	if err == nil || !strings.Contains(err.Error(), "list_told") {
+		t.Errorf("list_told 0: %v", err)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -315,7 +315,7 @@
 	case err == nil:
 		c.grace = c.lim.ListGrace
 	case errors.Is(err, context.DeadlineExceeded) && !time.Now().Before(c.owed):
-		c.grace = max(c.lim.ListGrace, min(2*c.grace, c.lim.ListTold*2/3-c.lim.ListWait))
+		c.grace = min(2*c.grace, max(c.lim.ListGrace, c.lim.ListTold*2/3))
 	}
 }
 
@@ -333,7 +333,9 @@
 		q.Set("after", strconv.FormatInt(rev, 10))
 		q.Set("wait_ms", strconv.FormatInt(wait/1000, 10))
 	}
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+c.grace))
+	// A long wait leaves little of it; a call for the whole list has none, and may take all that a slow discovery needs.
+	grace := min(c.grace, max(c.lim.ListGrace, c.lim.ListTold*2/3-wait))
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(wait+grace))
 	defer cancel()
 	at := base
 	if len(q) > 0 {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -899,8 +899,8 @@
 		if s.cfg.Home > 0 && n.Zone+1 != s.cfg.Home {
 			c += s.cfg.Far.Seconds()
 		}
-		if s.now > n.heardAt+s.cfg.Keep { // a new connection costs so much of what an answer within the aim pays
-			c += s.cfg.Handshake * r.class.Aim.Seconds()
+		if s.cfg.Keep > 0 && s.now > n.heardAt+s.cfg.Keep { // never worth a stay at which a node is held back
+			c += min(s.cfg.Handshake, aimPart) * r.class.Aim.Seconds()
 		}
 		c += errorCost * n.errors * n.aim // one that fails fast would draw all new objects
 		c = max(c, leastStay) * (1 + 0.2*s.rng.Float64())
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -752,3 +752,18 @@
 		t.Errorf("%d of 300 objects went to the one slow node", n)
 	}
 }
+
+// However dear a new connection, it is no reason to wait at a node that is slow; and it is none where nobody told how long one stands.
+func TestPriceOfConnectionsIsBounded(t *testing.T) {
+	for keep, stay := range map[time.Duration]float64{5 * time.Second: 0.5, 0: 0.1} {
+		cfg := testConfig()
+		cfg.Handshake, cfg.Keep = 5, keep
+		r := newRig(t, cfg, Member{Node: "slow"}, Member{Node: "quick", Shard: 1})
+		r.s.nodes["slow"].heardAt, r.s.nodes["slow"].lat, r.s.nodes["quick"].lat = r.now, stay, 0.05
+		for range 50 {
+			if n := r.s.pick(&request{class: &cfg.Classes[0], a: Arrival{Shard: -1, Units: 1}}); n.Node != "quick" {
+				t.Fatalf("keep %v: a new object goes to %s", keep, n.Node)
+			}
+		}
+	}
+}
