Supervisor test: a report is held against the machine only once the instant is over

On the fake clock both fall into one instant, in which a broker that dies around a change (Change unlocks the machine before it ends the process) can be alive at the first look and gone at the second. The report was true when made. Neither program nor decision code changes.

--- a/internal/fleet/supervisor/supervisor_test.go
+++ b/internal/fleet/supervisor/supervisor_test.go
@@ -328,6 +328,8 @@
 func (r *rig) settled(within time.Duration) bool {
 	r.t.Helper()
 	for end := time.Now().Add(within); ; {
+		// What happens in this very instant must be over, or a broker may die between the report and the look at the machine.
+		synctest.Wait()
 		o, err := r.mgr.Overview(spec.Selector{})
 		if err != nil {
 			r.t.Fatal(err)
