Lab: scenarios played and compared from the command line

Need: the model could only be run from tests. `poppyarch lab run | compare` reads a scenario in TOML, names file, line and key of what cannot be, plays all designs on the same seeds side by side and compares two of them by paired differences. The place of a TOML error moved from the fleet's settings to internal/tomlat, which both use.

--- /dev/null
+++ b/cmd/poppyarch/lab.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"poppyarch/internal/lab/measure"
+	"poppyarch/internal/lab/model"
+	"poppyarch/internal/tomlat"
+)
+
+// labCommand is the model: designs tried on scenarios, without a socket.
+func labCommand() *cobra.Command {
+	c := &cobra.Command{Use: "lab", Short: "Try designs on a model of clients, brokers and nodes", Args: usage(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
+	c.AddCommand(labRun(), labCompare())
+	return c
+}
+
+// labFlags are what both commands take.
+type labFlags struct {
+	seed   uint64
+	runs   int
+	asJSON bool
+}
+
+func (f *labFlags) add(c *cobra.Command) {
+	c.Flags().Uint64Var(&f.seed, "seed", 1, "of the first run; the others follow")
+	c.Flags().IntVar(&f.runs, "runs", 8, "runs of each design, of one seed each")
+	c.Flags().BoolVar(&f.asJSON, "json", false, "results as JSON, one a run")
+}
+
+func labRun() *cobra.Command {
+	var f labFlags
+	var designs []string
+	c := &cobra.Command{Use: "run SCENARIO", Short: "Play a scenario with one or several designs", Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			s, all, err := f.play(args[0], designs)
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			if f.asJSON {
+				return f.json(out, all)
+			}
+			fmt.Fprintf(out, "%s: %.3g of all cores asked for, %d runs of each design\n", s.Name, s.Offered(), f.runs)
+			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "DESIGN\tSERVED/S\tTIME MS\tMEDIAN MS\tP99 MS\tINSIDE\tFULL\tGIVEN UP")
+			for _, rs := range all {
+				fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%v\t%v\t%v\t%v\n", rs[0].Design, over(rs, served), over(rs, func(r *model.Result) float64 { return 1000 * r.Time.Mean }),
+					over(rs, func(r *model.Result) float64 { return 1000 * r.Median }), over(rs, p99),
+					over(rs, func(r *model.Result) float64 { return r.Inside.Mean }), over(rs, func(r *model.Result) float64 { return float64(r.Full) }),
+					over(rs, func(r *model.Result) float64 { return float64(r.GivenUp) }))
+			}
+			return w.Flush()
+		}}
+	f.add(c)
+	c.Flags().StringSliceVarP(&designs, "design", "d", model.Designs(), "designs to play")
+	return c
+}
+
+func labCompare() *cobra.Command {
+	var f labFlags
+	c := &cobra.Command{Use: "compare SCENARIO DESIGN DESIGN", Short: "Say by how much the first design differs from the second, seed by seed",
+		Args: usage(cobra.ExactArgs(3)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			_, all, err := f.play(args[0], args[1:])
+			if err != nil {
+				return err
+			}
+			out := cmd.OutOrStdout()
+			if f.asJSON {
+				return f.json(out, all)
+			}
+			fmt.Fprintf(out, "%s less %s, %d seeds:\n", args[1], args[2], f.runs)
+			for _, x := range []struct {
+				name string
+				of   func(*model.Result) float64
+			}{{"served a second", served}, {"p99, ms", p99}, {"given up", func(r *model.Result) float64 { return float64(r.GivenUp) }}} {
+				d, err := measure.Paired(values(all[0], x.of), values(all[1], x.of))
+				if err != nil {
+					return err
+				}
+				verdict := "differs"
+				if d.Holds(0) {
+					verdict = "no difference shown"
+				}
+				fmt.Fprintf(out, "  %-16s %v  %s\n", x.name, d, verdict)
+			}
+			return nil
+		}}
+	f.add(c)
+	return c
+}
+
+func served(r *model.Result) float64 { return r.Served.Mean }
+func p99(r *model.Result) float64    { return 1000 * r.P99 }
+
+func values(rs []*model.Result, of func(*model.Result) float64) []float64 {
+	out := make([]float64, len(rs))
+	for i, r := range rs {
+		out[i] = of(r)
+	}
+	return out
+}
+
+func over(rs []*model.Result, of func(*model.Result) float64) measure.Figure {
+	return measure.Of(values(rs, of))
+}
+
+// play reads a scenario and runs all designs on all seeds, side by side; a run itself is one loop.
+func (f *labFlags) play(path string, designs []string) (*model.Scenario, [][]*model.Result, error) {
+	s, err := readScenario(path)
+	if err != nil {
+		return nil, nil, &exit{exitUsage, err}
+	}
+	if f.runs < 1 {
+		return nil, nil, &exit{exitUsage, fmt.Errorf("--runs: %d cannot be", f.runs)}
+	}
+	for _, d := range designs {
+		if _, err := model.NewDesign(d); err != nil {
+			return nil, nil, &exit{exitUsage, err}
+		}
+	}
+	all := make([][]*model.Result, len(designs))
+	room, wait := make(chan struct{}, runtime.GOMAXPROCS(0)), sync.WaitGroup{}
+	var once sync.Once
+	var failed error
+	for k, d := range designs {
+		all[k] = make([]*model.Result, f.runs)
+		for i := range f.runs {
+			wait.Go(func() {
+				room <- struct{}{}
+				defer func() { <-room }()
+				r, err := model.Play(s, d, f.seed+uint64(i))
+				if err != nil {
+					once.Do(func() { failed = err })
+				}
+				all[k][i] = r
+			})
+		}
+	}
+	wait.Wait()
+	return s, all, failed
+}
+
+// readScenario reads a file and names it, the line and the key of what is wrong.
+func readScenario(path string) (*model.Scenario, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	s := &model.Scenario{}
+	if err := toml.NewDecoder(file).DisallowUnknownFields().Decode(s); err != nil {
+		return nil, tomlat.Error(path, err)
+	}
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+func (f *labFlags) json(w io.Writer, all [][]*model.Result) error {
+	e := json.NewEncoder(w)
+	for _, rs := range all {
+		for _, r := range rs {
+			if err := e.Encode(r); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/poppyarch/lab_test.go
@@ -0,0 +1,37 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// A scenario that cannot be is named by file, line and key; a play says the same twice.
+func TestLab(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good := "brokers = 3\nlast = \"5s\"\n[[nodes]]\ncount = 4\ncores = 1\nspeed = 1\n[load]\nrate = 90.0\nwork = \"20ms\"\nspread = \"exponential\"\n"
+	for name, x := range map[string]struct{ text, want string }{
+		"key.toml":    {good + "colour = 3\n", "key.toml:11: load.colour: unknown key"},
+		"figure.toml": {strings.Replace(good, "count = 4", "count = 0", 1), "figure.toml: nodes[0].count: 0 cannot be"},
+	} {
+		if code, out := run("lab", "run", write(name, x.text)); code != exitUsage || !strings.Contains(out, x.want) {
+			t.Errorf("%s: exit %d, %s", name, code, out)
+		}
+	}
+	path := write("good.toml", good)
+	code, first := run("lab", "run", path, "--runs", "2")
+	if _, second := run("lab", "run", path, "--runs", "2"); code != 0 || first != second || !strings.Contains(first, "two") {
+		t.Errorf("exit %d\n%s\n%s", code, first, second)
+	}
+	if code, out := run("lab", "compare", path, "two", "random", "--runs", "4"); code != 0 || !strings.Contains(out, "two less random, 4 seeds") {
+		t.Errorf("exit %d, %s", code, out)
+	}
+}
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -15,6 +15,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"poppyarch/internal/fleet/state"
+	"poppyarch/internal/tomlat"
 )
 
 // Duration is a time in TOML, such as "5s" or "100ms".
@@ -119,7 +120,7 @@
 	d := toml.NewDecoder(bytes.NewReader(text))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&f); err != nil {
-		return f, located(path, err)
+		return f, tomlat.Error(path, err)
 	}
 	base := filepath.Dir(path)
 	for _, p := range []*string{&f.Manager.Journal, &f.Agent.Journal, &f.Agent.RunDir, &f.Fleet.Inventory} {
@@ -133,26 +134,6 @@
 	return f, nil
 }
 
-// located names the line and the key of the library's errors.
-func located(path string, err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) && len(strict.Errors) > 0 {
-		e := strict.Errors[0]
-		line, _ := e.Position()
-		return fmt.Errorf("%s:%d: %s: unknown key", path, line, strings.Join(e.Key(), "."))
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		line, _ := de.Position()
-		key := strings.Join(de.Key(), ".")
-		if key != "" {
-			key += ": "
-		}
-		return fmt.Errorf("%s:%d: %s%s", path, line, key, strings.TrimPrefix(de.Error(), "toml: "))
-	}
-	return fmt.Errorf("%s: %w", path, err)
-}
-
 func (f *File) check() error {
 	for key, addr := range map[string]string{"manager.listen": f.Manager.Listen, "agent.manager": f.Agent.Manager, "fleet.manager": f.Fleet.Manager} {
 		if p, ok := strings.CutPrefix(addr, "unix:"); ok && p != "" {
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -3,6 +3,7 @@
 package measure
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 
@@ -24,6 +25,21 @@
 	return fmt.Sprintf("%.4g ± %.2g", f.Mean, f.Half)
 }
 
+// MarshalJSON writes null for what is not known: JSON has no word for it.
+func (f Figure) MarshalJSON() ([]byte, error) {
+	known := func(v float64) *float64 {
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			return nil
+		}
+		return &v
+	}
+	return json.Marshal(struct {
+		Mean *float64 `json:"mean"`
+		Half *float64 `json:"half"`
+		N    int      `json:"n"`
+	}{known(f.Mean), known(f.Half), f.N})
+}
+
 // Holds reports whether x lies within the interval.
 func (f Figure) Holds(x float64) bool { return math.Abs(x-f.Mean) <= f.Half }
 
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -1,6 +1,7 @@
 package model
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"strings"
@@ -110,3 +111,23 @@
 		t.Error(err)
 	}
 }
+
+// BenchmarkPlay is events a second on one core as the fleet grows; the load grows with it, a hundredth as many brokers as nodes.
+func BenchmarkPlay(b *testing.B) {
+	for _, nodes := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) {
+			s := &Scenario{Brokers: max(nodes/100, 1), Last: Span(time.Duration(2_000_000/nodes) * time.Millisecond), Nodes: []Kind{{Count: nodes, Cores: 2, Speed: 1}},
+				Load: Load{Rate: 28 * float64(nodes), Work: Span(50 * time.Millisecond), Spread: "exponential"}}
+			events := uint64(0)
+			for range b.N {
+				r, err := Play(s, "two", 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+			b.ReportAllocs()
+		})
+	}
+}
