--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -53,12 +53,20 @@
 			}
 			fmt.Fprintf(out, "%s: %.3g of all cores asked for, %d runs of each design\n", s.Name, s.Offered(), f.runs)
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-			fmt.Fprintln(w, "DESIGN\tSERVED/S\tTIME MS\tMEDIAN MS\tP99 MS\tINSIDE\tFULL\tGIVEN UP")
+			fmt.Fprintln(w, "DESIGN\tSERVICE\tRESERVED\tSERVED/S\tTIME MS\tP99 MS\tREFUSED\tFAILED\tLATE\tCONNECTIONS\tFELL\tBROKEN")
 			for _, rs := range all {
-				fmt.Fprintf(w, "%s\t%v\t%v\t%v\t%v\t%v\t%v\t%v\n", rs[0].Design, over(rs, served), over(rs, func(r *model.Result) float64 { return 1000 * r.Time.Mean }),
-					over(rs, func(r *model.Result) float64 { return 1000 * r.Median }), over(rs, p99),
-					over(rs, func(r *model.Result) float64 { return r.Inside.Mean }), over(rs, func(r *model.Result) float64 { return float64(r.Full) }),
-					over(rs, func(r *model.Result) float64 { return float64(r.GivenUp) }))
+				fmt.Fprintf(w, "%s", rs[0].Design)
+				for _, of := range []func(*model.Result) float64{func(r *model.Result) float64 { return r.Service }, func(r *model.Result) float64 { return r.Reserved }, served,
+					func(r *model.Result) float64 { return 1000 * r.Time.Mean }, p99, func(r *model.Result) float64 { return float64(r.Refused) },
+					func(r *model.Result) float64 { return float64(r.Failed) }, func(r *model.Result) float64 { return float64(r.Late) },
+					func(r *model.Result) float64 { return float64(r.Handshakes) }, func(r *model.Result) float64 { return float64(r.Fell) }} {
+					fmt.Fprintf(w, "\t%v", over(rs, of))
+				}
+				broken := ""
+				for _, r := range rs {
+					broken += r.BrokenRules()
+				}
+				fmt.Fprintf(w, "\t%s\n", broken)
 			}
 			return w.Flush()
 		}}
@@ -126,7 +134,7 @@
 		return nil, nil, &exit{exitUsage, fmt.Errorf("--runs: %d cannot be", f.runs)}
 	}
 	for _, d := range designs {
-		if _, err := model.NewDesign(d); err != nil {
+		if err := model.CheckDesign(d); err != nil {
 			return nil, nil, &exit{exitUsage, err}
 		}
 	}
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,59 @@
+// Package history is what happened in a run, as one who sees everything writes it down. The checker of the rules reads nothing else.
+package history
+
+// Kind says what happened; it tells which fields count.
+type Kind uint8
+
+// What happens.
+const (
+	Taken    Kind = iota // Request, Broker, Class, Volume, Key, Units, Until: the broker has all of it
+	Sent                 // Request, Attempt, Broker, Node
+	Ended                // Request, Attempt, NeverRan: the broker knows how the attempt ended
+	Answered             // Request, Broker, Answer
+	Left                 // Request: its client waits no longer
+	Told                 // Broker, Node, State, Since: the broker's list says so from now on
+	Started              // Node, Shard, Zone: up, and cold
+	Fell                 // Node: more came than it could bear when cold
+	Died                 // Broker: with all that it had taken
+)
+
+// Answer is a broker's final word on a request.
+type Answer uint8
+
+// The answers.
+const (
+	Served Answer = iota
+	Refused
+	Failed
+)
+
+// State is what a list says of a node.
+type State uint8
+
+// The states.
+const (
+	Up State = iota
+	Draining
+	Gone
+)
+
+// Record is one thing that happened. Times are microseconds.
+type Record struct {
+	At       int64
+	Until    int64 // when the client of what is taken gives up; 0: never
+	Since    int64 // the start of the node that a broker is told of; 0: long ago
+	Request  uint64
+	Key      uint64
+	Units    float64
+	Attempt  int32
+	Broker   int32
+	Node     int32
+	Shard    int32
+	Zone     int32
+	Class    int32
+	Volume   int32
+	Kind     Kind
+	Answer   Answer
+	State    State
+	NeverRan bool // the outcome proves that nothing ran
+}
--- /dev/null
+++ b/internal/lab/model/client.go
@@ -0,0 +1,338 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"poppyarch/internal/lab/history"
+	"poppyarch/policy"
+)
+
+// volume is a member's: it stands on a plan, comes through some brokers and lies on some nodes.
+type volume struct {
+	id      int32
+	name    string
+	plan    int
+	hosts   []int32
+	lead    int
+	shards  []int32
+	rate    float64 // tries a second, usually
+	units   float64 // a second, usually
+	factor  float64 // at present
+	gen     int     // of the present factor
+	lots    *rand.Rand
+	reserve bucket
+	share   bucket
+	fresh   [4]place // what was written last
+	writes  int
+}
+
+type place struct {
+	key   uint64
+	shard int32
+}
+
+// bucket is a store in units that fills at a rate up to a level.
+type bucket struct {
+	rate, most, level float64
+	at                int64
+}
+
+func (b *bucket) take(now int64, units float64) bool {
+	b.level = math.Min(b.most, b.level+b.rate*float64(now-b.at)/1e6)
+	b.at = now
+	if b.level < units {
+		return false
+	}
+	b.level -= units
+	return true
+}
+
+func (v *volume) wrote(key uint64, shard int32) {
+	v.fresh[v.writes%len(v.fresh)] = place{key, shard}
+	v.writes++
+}
+
+// Units of a request: 1 to 8, two in the mean; a unit is half of the mean work.
+const (
+	meanUnits = 2.0
+	mostUnits = 8.0
+)
+
+// volumes are drawn by the run's seed, the same for every design.
+func (r *run) makeVolumes() {
+	lots := r.e.Stream("volumes")
+	if len(r.s.Plans) == 0 {
+		hosts := make([]int32, len(r.brokers))
+		for i := range hosts {
+			hosts[i] = int32(i)
+		}
+		r.volumes = []*volume{{name: "all", hosts: hosts, rate: r.s.Load.Rate, factor: 1}}
+		r.config.Plans = []policy.Plan{{Name: "all", Weight: 1, Price: 1, Rate: r.s.Load.Rate * meanUnits}}
+		return
+	}
+	total := 0.0
+	for _, p := range r.s.Plans {
+		total += float64(p.Volumes) * p.Size
+	}
+	between := func(x [2]int, most int) int { return min(x[0]+lots.IntN(x[1]-x[0]+1), most) }
+	for k, p := range r.s.Plans {
+		rate := r.s.Load.Rate * p.Size / total
+		units := rate * meanUnits
+		price := p.Price
+		if price == 0 {
+			price = 1
+		}
+		r.config.Plans = append(r.config.Plans, policy.Plan{Name: p.Name, Weight: p.Weight, Price: price, Rate: units, Reserve: p.Reserve * units,
+			Limit: p.Limit * units, LimitBurst: p.Limit*units + 2*mostUnits*float64(p.Hosts[1]), Slack: 0.1 * (p.Limit*units + 2*mostUnits*float64(p.Hosts[1]))})
+		for range p.Volumes {
+			v := &volume{id: int32(len(r.volumes)), plan: k, rate: rate, units: units, factor: 1}
+			v.name = fmt.Sprintf("%08x", 0x1000+v.id)
+			for _, i := range lots.Perm(len(r.brokers))[:between(p.Hosts, len(r.brokers))] {
+				v.hosts = append(v.hosts, int32(i))
+			}
+			for _, i := range lots.Perm(len(r.nodes))[:between(p.Nodes, len(r.nodes))] {
+				v.shards = append(v.shards, r.nodes[i].shard)
+			}
+			v.lots = r.e.Stream("volume " + v.name)
+			if lots.Float64() < p.Busy {
+				v.rate *= 1 + 2*lots.Float64()
+			}
+			full := p.Reserve*units + mostUnits
+			v.reserve = bucket{rate: p.Reserve * units, most: full, level: full}
+			v.share = bucket{rate: 2 * units, most: 2*units + mostUnits, level: 2 * units}
+			if lots.Float64() < p.Surge {
+				r.surges(v)
+			}
+			r.volumes = append(r.volumes, v)
+		}
+	}
+}
+
+// surges are about two a minute, of four to eighteen seconds, five to twenty times the rate.
+func (r *run) surges(v *volume) {
+	lots := r.e.Stream("surges of " + v.name)
+	var next func()
+	next = func() {
+		r.e.After(int64(lots.ExpFloat64()*30e6), func() {
+			by := 5 + 15*lots.Float64()
+			r.times(v, by)
+			r.e.After(int64((4+14*lots.Float64())*1e6), func() {
+				r.times(v, 1/by)
+				next()
+			})
+		})
+	}
+	next()
+}
+
+// times changes a volume's rate from now on. Its next request is drawn anew, which changes nothing else: what has passed without one does not count.
+func (r *run) times(v *volume, by float64) {
+	v.factor *= by
+	v.gen++
+	if v.lots != nil {
+		r.next(v, v.gen)
+	}
+}
+
+func (r *run) next(v *volume, gen int) {
+	wait := v.lots.ExpFloat64() * 1e6 / (v.rate * v.factor * r.loadBy)
+	r.e.After(int64(wait), func() {
+		if v.gen == gen && !r.ended() {
+			r.comes(v)
+			r.next(v, gen)
+		}
+	})
+}
+
+// clients come at times of their own, whatever becomes of those before them.
+func (r *run) clients() {
+	r.draw = r.s.Load.work(r.e.Stream("work"))
+	if len(r.s.Plans) > 0 {
+		for _, v := range r.volumes {
+			r.next(v, v.gen)
+			if len(v.hosts) > 1 && r.s.Load.Shift > 0 {
+				r.shifts(v)
+			}
+		}
+		return
+	}
+	when := r.e.Stream("arrivals")
+	v := r.volumes[0]
+	at := 0.0 // kept as it is: rounded each time, short distances would change the rate
+	var next func()
+	next = func() {
+		if r.ended() {
+			return
+		}
+		r.comes(v)
+		at += when.ExpFloat64() * 1e6 / (r.s.Load.Rate * v.factor * r.loadBy)
+		r.e.At(int64(at), next)
+	}
+	at = when.ExpFloat64() * 1e6 / r.s.Load.Rate
+	r.e.At(int64(at), next)
+}
+
+// shifts move a volume's lead to its next broker.
+func (r *run) shifts(v *volume) {
+	lots := r.e.Stream("shifts of " + v.name)
+	var next func()
+	next = func() {
+		r.e.After(int64(lots.ExpFloat64()*float64(r.s.Load.Shift.us())), func() {
+			v.lead = (v.lead + 1) % len(v.hosts)
+			next()
+		})
+	}
+	next()
+}
+
+// comes is a client's first try.
+func (r *run) comes(v *volume) {
+	q := &request{first: r.e.Now(), vol: v, work: r.draw(), units: meanUnits}
+	lots := r.who
+	if len(r.classes) > 1 {
+		x := lots.Float64() * r.shares
+		for int(q.class) < len(r.classes)-1 && x >= r.classes[q.class].Share {
+			x -= r.classes[q.class].Share
+			q.class++
+		}
+	}
+	class := &r.classes[q.class]
+	if class.Work > 0 {
+		q.work *= class.Work
+	}
+	if v.lots != nil {
+		q.units = math.Min(mostUnits, math.Max(1, math.Round(meanUnits*q.work/r.mean)))
+	}
+	r.where(q, lots)
+	now := r.e.Now()
+	kind := 1.0
+	if v.lots != nil {
+		q.inside = v.reserve.take(now, q.units)
+		switch {
+		case q.inside:
+		case v.share.take(now, q.units):
+			kind = r.s.Rules.Share
+		default:
+			kind = r.s.Rules.Beyond
+		}
+	}
+	q.worth = class.Worth * r.config.Plans[v.plan].Price * kind * q.units
+	r.due.add(now, q.worth)
+	r.asked.Add(now, 1)
+	r.seen++
+	if q.inside {
+		r.dueInside += q.worth
+	}
+	r.try(q, r.who)
+}
+
+// where the data of a request lies.
+func (r *run) where(q *request, lots *rand.Rand) {
+	v := q.vol
+	if len(v.shards) == 0 || r.classes[q.class].Writes {
+		q.shard = -1
+		if v.lots != nil {
+			r.keys++
+			q.key = r.keys
+		}
+		return
+	}
+	// As many draws whatever was written, which is the design's doing.
+	again, one, i, key := lots.Float64(), lots.IntN(len(v.fresh)), lots.IntN(len(v.shards)), lots.IntN(64)
+	if v.writes > 0 && again < r.s.Load.Reread {
+		p := v.fresh[one%min(v.writes, len(v.fresh))]
+		q.key, q.shard = p.key, p.shard
+		return
+	}
+	q.shard = v.shards[i]
+	q.key = 1<<62 | uint64(v.id)<<16 | uint64(i)<<8 | uint64(key)
+}
+
+// try is one way of a client to a broker.
+func (r *run) try(q *request, lots *rand.Rand) {
+	v := q.vol
+	i := 0
+	if n := len(v.hosts); n > 1 {
+		i = r.host(v, lots)
+	}
+	b := r.brokers[v.hosts[i]]
+	r.lastID++
+	q.id = r.lastID
+	if p := r.classes[q.class].Patience.us(); len(r.s.Classes) > 0 || r.s.Load.Patience > 0 {
+		q.until = r.e.Now() + p
+	}
+	if b.down {
+		r.unheard++
+		return
+	}
+	if q.until > 0 {
+		epoch := b.epoch
+		r.e.At(q.until, func() {
+			if !q.over && epoch == b.epoch {
+				q.over = true
+				r.given++
+				r.note(history.Record{Kind: history.Left, Request: q.id, Broker: b.id})
+				b.step(policy.Event{Kind: policy.ClientLeft, ID: q.id})
+				if at := q.last; at != nil && !at.over && b.epoch == epoch { // its broker ends the attempt; the node may go on with it
+					b.end(at, policy.Cancelled)
+				}
+			}
+		})
+	}
+	b.take(q)
+}
+
+// host draws the broker of a try: the lead most often, the others less and less.
+func (r *run) host(v *volume, lots *rand.Rand) int {
+	n := len(v.hosts)
+	if r.s.Load.Skew == 0 {
+		return lots.IntN(n)
+	}
+	sum := 0.0
+	for k := range n {
+		sum += math.Pow(float64(k+1), -r.s.Load.Skew)
+	}
+	x, k := lots.Float64()*sum, 0
+	for ; k < n-1; k++ {
+		if x -= math.Pow(float64(k+1), -r.s.Load.Skew); x < 0 {
+			break
+		}
+	}
+	return (v.lead + k) % n
+}
+
+// heard is what a client hears. It comes again once after a refusal or a failure, if it is one that does.
+func (r *run) heard(b *broker, q *request, a history.Answer, hint time.Duration) {
+	q.over = true
+	now := r.e.Now()
+	class := &r.classes[q.class]
+	switch a {
+	case history.Served:
+		r.served.Add(now, 1)
+		took := now - q.first
+		if now >= r.from {
+			r.spent.Add(q.first, float64(took)/1e6)
+			r.latency.Add(took)
+		}
+		got := q.worth
+		if took > class.Aim.us() {
+			got *= class.Late
+			r.late++
+		} else if q.inside {
+			r.earnedInside += got
+		}
+		r.earned.add(q.first, got)
+		return
+	case history.Refused:
+		r.refused++
+	default:
+		r.failed++
+	}
+	if q.try == 0 && r.s.Load.Retry > 0 && r.again.Float64() < r.s.Load.Retry {
+		again := &request{first: q.first, work: q.work, units: q.units, key: q.key, worth: q.worth, vol: q.vol, class: q.class, shard: q.shard, try: 1, inside: q.inside}
+		r.e.After(max(hint.Microseconds(), 50_000), func() { r.try(again, r.again) })
+	}
+}
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -57,7 +57,8 @@
 func TestRunsRepeat(t *testing.T) {
 	s := &Scenario{Brokers: 7, Last: Span(20 * time.Second), Nodes: []Kind{{Count: 12, Cores: 2, Speed: 0.9, Room: 20}},
 		Load:    Load{Rate: 800, Work: Span(20 * time.Millisecond), Spread: "exponential", Patience: Span(time.Second)},
-		Trouble: []Pauses{{"pause", 1, Span(5 * time.Second), Span(100 * time.Millisecond)}, {"silence", 0.2, Span(9 * time.Second), Span(3 * time.Second)}}}
+		Service: Service{Drops: true},
+		Trouble: []Trouble{{Kind: "pause", Share: 1, Every: Span(5 * time.Second), Last: Span(100 * time.Millisecond)}, {Kind: "silence", Share: 0.2, Every: Span(9 * time.Second), Last: Span(3 * time.Second)}}}
 	for _, d := range Designs() {
 		a, err := Play(s, d, 5)
 		b, _ := Play(s, d, 5)
@@ -68,7 +69,7 @@
 		if a.Requests != c.Requests || a.Asked != c.Asked {
 			t.Errorf("%s met other clients than random did", d)
 		}
-		if a.GivenUp == 0 || a.Full+a.GivenUp > a.Requests {
+		if a.Refused+a.Failed == 0 || len(a.Broken) > 0 || a.Moot > 0 {
 			t.Errorf("%s: %+v", d, a)
 		}
 	}
@@ -99,7 +100,7 @@
 	for key, spoil := range map[string]func(*Scenario){
 		"load.rate": func(s *Scenario) { s.Load.Rate = 0 }, "load.spread": func(s *Scenario) { s.Load.Spread = "x" },
 		"nodes[0].cores": func(s *Scenario) { s.Nodes[0].Cores = 0 }, "warm": func(s *Scenario) { s.Warm = s.Last },
-		"trouble[0].every": func(s *Scenario) { s.Trouble = []Pauses{{"pause", 1, 1, 2}} },
+		"trouble[0].every": func(s *Scenario) { s.Trouble = []Trouble{{Kind: "pause", Share: 1, Every: 1, Last: 2}} },
 	} {
 		s := one(1, 1, "constant")
 		spoil(s)
@@ -131,3 +132,92 @@
 		})
 	}
 }
+
+// fleet is a small one with everything that the model has, and one trouble.
+func fleet(trouble ...Trouble) *Scenario {
+	ms := func(n int) Span { return Span(time.Duration(n) * time.Millisecond) }
+	return &Scenario{Name: "fleet", Brokers: 8, Zones: 2, Last: ms(12_000), Nodes: []Kind{{8, 2, 0.95, 30}, {4, 2, 0.6, 30}},
+		Service: Service{Connections: 60, Handshake: ms(4), Remembers: 2, Seek: 0.4, Defer: 0.3, Flush: ms(2000)},
+		Cold:    Cold{Share: 0.2, Warm: ms(8000), Multiple: 3, Window: ms(1000)}, Link: Link{Delay: 500, Jitter: 500, Handshake: 1000, Keep: ms(5000)},
+		Discovery: Discovery{Calls: 50, Wait: ms(2000), Late: ms(300)},
+		Load:      Load{Rate: 200, Work: ms(52), Spread: "lognormal", Sigma: 0.3, Retry: 0.4, Reread: 0.3, Shift: ms(5000), Skew: 0.8},
+		Classes: []Class{{Name: "read", Share: 0.65, Work: 0.8, Aim: ms(400), Patience: ms(2500), Worth: 2, Late: 0.1, Repeat: "always"},
+			{Name: "new", Share: 0.35, Work: 1.4, Aim: ms(600), Patience: ms(5000), Worth: 2, Late: 0.1, Repeat: "never", Writes: true}},
+		Plans: []Plan{{Name: "basis", Volumes: 40, Size: 1, Reserve: 0.3, Weight: 1, Price: 0.8, Hosts: [2]int{1, 3}, Nodes: [2]int{1, 4}, Busy: 0.2, Surge: 0.1},
+			{Name: "express", Volumes: 30, Size: 2, Reserve: 1.2, Weight: 3, Price: 1.5, Hosts: [2]int{1, 3}, Nodes: [2]int{1, 4}, Limit: 4}},
+		Rules: Rules{Attempts: 3, Slack: ms(50), Share: 0.3, Beyond: 0.08, Ask: ms(10_000)}, Trouble: trouble}
+}
+
+// The module keeps every rule in every trouble, and all of them at once; each play can be repeated to the last figure. What a trouble costs shows.
+func TestModuleInEveryTrouble(t *testing.T) {
+	s := func(n float64) Span { return Span(n * float64(time.Second)) }
+	var all []Trouble
+	for _, kind := range Kinds() {
+		x := Trouble{Kind: kind, Share: 0.5, At: s(3), Last: s(2.5), Over: s(1)}
+		if troubles[kind] {
+			x.Factor = map[string]float64{"slow": 0.3, "hot": 6, "load": 1.8, "late": 4, "lossy": 0.5, "error": 0.5}[kind]
+		}
+		all = append(all, x)
+	}
+	calm, err := Play(fleet(), "module", 1)
+	if err != nil || calm.Service < 0.9 || calm.Requests < 2000 {
+		t.Fatalf("%v %+v", err, calm)
+	}
+	harm := 0
+	for _, list := range append([][]Trouble{all}, pieces(all)...) {
+		name := list[0].Kind
+		if len(list) > 1 {
+			name = "all"
+		}
+		r, err := Play(fleet(list...), "module", 1)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		if len(r.Broken) > 0 || r.Moot > 0 || r.GivenUp > 0 && name != "broker" {
+			t.Errorf("%s: %v%v, %d moot, %d clients gave up", name, r.BrokenRules(), r.Words, r.Moot, r.GivenUp)
+		}
+		if r.Service < calm.Service-0.005 {
+			harm++
+		}
+		if again, _ := Play(fleet(list...), "module", 1); !reflect.DeepEqual(r, again) {
+			t.Errorf("%s: two plays differ", name)
+		}
+	}
+	if harm < 9 {
+		t.Errorf("only %d troubles cost anything", harm)
+	}
+}
+
+func pieces(all []Trouble) (out [][]Trouble) {
+	for _, x := range all {
+		out = append(out, []Trouble{x})
+	}
+	return out
+}
+
+// Designs differ where they should: sending at once pushes cold nodes over, and the checker says so; who sees the true state does best.
+func TestDesignsDiffer(t *testing.T) {
+	s := fleet(Trouble{Kind: "replace", Share: 0.7, At: Span(2 * time.Second), Last: Span(2 * time.Second), Over: Span(time.Second)})
+	s.Load.Rate = 320
+	got := map[string]*Result{}
+	for _, d := range Designs() {
+		r, err := Play(s, d, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[d] = r
+	}
+	if got["random"].Fell == 0 || got["random"].Broken["cold"] == 0 {
+		t.Errorf("random pushed nobody over: %+v", got["random"])
+	}
+	for _, d := range []string{"module", "oracle"} {
+		if got[d].Fell > 0 || len(got[d].Broken) > 0 || got[d].Service < got["random"].Service {
+			t.Errorf("%s: %+v", d, got[d])
+		}
+	}
+	for d, r := range got {
+		if r.Service > got["oracle"].Service+0.01 {
+			t.Errorf("%s at %.3f is better than who sees the true state, %.3f", d, r.Service, got["oracle"].Service)
+		}
+	}
+}
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -2,49 +2,210 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"sort"
+	"time"
 
 	"poppyarch/internal/lab/engine"
+	"poppyarch/internal/lab/history"
 	"poppyarch/internal/lab/measure"
+	"poppyarch/internal/lab/rules"
 	"poppyarch/internal/sketch"
+	"poppyarch/policy"
 )
 
 // batches is how many parts of a run the intervals are drawn from.
 const batches = 20
 
-// Result is what one run showed, after its warming up. Times are seconds.
+// Result is what one run showed, after its warming up where a figure says nothing else. Times are seconds.
 type Result struct {
-	Design   string         `json:"design"`
-	Seed     uint64         `json:"seed"`
-	Asked    measure.Figure `json:"asked"`    // requests a second
-	Served   measure.Figure `json:"served"`   // in time
-	Time     measure.Figure `json:"time"`     // from a request to its answer, of those served
-	Inside   measure.Figure `json:"inside"`   // requests at all nodes together
-	Median   float64        `json:"median"`   // of the time
-	P99      float64        `json:"p99"`      //
-	Full     int            `json:"full"`     // turned away by a full room
-	GivenUp  int            `json:"given_up"` // by their clients
-	Events   uint64         `json:"events"`
-	Requests int            `json:"requests"`
-}
-
-type broker struct {
-	design Design
-	rng    *rand.Rand
-	out    []int32
+	Scenario   string         `json:"scenario"`
+	Design     string         `json:"design"`
+	Seed       uint64         `json:"seed"`
+	Asked      measure.Figure `json:"asked"`   // requests a second
+	Served     measure.Figure `json:"served"`  // a second
+	Time       measure.Figure `json:"time"`    // from a client's first try to its answer, of those served
+	Inside     measure.Figure `json:"inside"`  // requests at all nodes together
+	Service    float64        `json:"service"` // worth earned over worth due, from the first second on
+	Reserved   float64        `json:"reserved"`
+	Series     []float64      `json:"series"` // service in so many parts of the run
+	Median     float64        `json:"median"` // of the time
+	P99        float64        `json:"p99"`
+	Full       int            `json:"full"`     // turned away by a full room
+	GivenUp    int            `json:"given_up"` // by their clients
+	Refused    int            `json:"refused"`
+	Failed     int            `json:"failed"`
+	Late       int            `json:"late"` // served after the aim
+	Unheard    int            `json:"unheard"`
+	Attempts   int            `json:"attempts"`
+	Handshakes int            `json:"handshakes"`
+	Calls      int            `json:"calls"` // of discovery
+	Fell       int            `json:"fell"`  // cold nodes
+	MostOpen   int            `json:"most_open"`
+	Moot       int            `json:"moot"` // sends that could not be
+	Requests   int            `json:"requests"`
+	Events     uint64         `json:"events"`
+	Broken     map[string]int `json:"broken,omitempty"`
+	Words      []rules.Broken `json:"words,omitempty"` // the first rules broken
 }
 
+// ledger is worth by part of the run.
+type ledger struct {
+	per   int64
+	parts []float64
+}
+
+func (l *ledger) add(at int64, v float64) {
+	if k := int(at / l.per); k < len(l.parts) {
+		l.parts[k] += v
+	}
+}
+
+func (l *ledger) sum() (s float64) {
+	for _, v := range l.parts {
+		s += v
+	}
+	return s
+}
+
+// SeriesParts is how many parts of a run the series of service has.
+const SeriesParts = 60
+
 type run struct {
-	s                 *Scenario
-	e                 *engine.Engine
-	nodes             []*Node
-	brokers           []*broker
-	from              int64
-	asked, times      *measure.Batches
-	served            *measure.Batches
-	inside            *measure.Level
-	latency           sketch.Sketch // microseconds
-	full, given, seen int
+	s         *Scenario
+	e         *engine.Engine
+	name      string // of the design
+	config    policy.Config
+	classes   []Class
+	shares    float64
+	mean      float64 // work of a request
+	nodes     []*Node
+	first     int // of them, those that were there from the start
+	byName    map[string]*Node
+	brokers   []*broker
+	volumes   []*volume
+	discovery *discovery
+	checker   *rules.Checker
+	stepping  *broker
+	err       error
+
+	from                    int64
+	draw                    func() float64
+	who, again, lots, links *rand.Rand
+	loadBy                  float64
+	lastID, keys            uint64
+
+	asked, spent, served    *measure.Batches
+	inside                  *measure.Level
+	latency                 sketch.Sketch // microseconds
+	due, earned             ledger
+	dueInside, earnedInside float64
+	full, given, seen, moot int
+	refused, failed, late   int
+	unheard, attempts       int
+	handshakes, falls       int
+	mostOpen                int
+}
+
+func (r *run) note(rec history.Record) {
+	rec.At = r.e.Now()
+	r.checker.Add(&rec)
+}
+
+func (r *run) fail(err error) {
+	if err != nil && r.err == nil {
+		r.err = err
+	}
+}
+
+// delay is one way through the network.
+func (r *run) delay() int64 {
+	d := r.s.Link.Delay.us()
+	if j := r.s.Link.Jitter.us(); j > 0 {
+		d += int64(r.links.ExpFloat64() * float64(j))
+	}
+	return d
+}
+
+func (r *run) newNode(cores int, speed float64, room int, shard, zone int32, kind float64) *Node {
+	n := &Node{Cores: cores, Speed: speed, Room: room, id: int32(len(r.nodes)), shard: shard, zone: zone, kind: kind, e: r.e, service: &r.s.Service,
+		cold: &r.s.Cold, mean: r.mean}
+	n.name = fmt.Sprintf("n%05d", n.id)
+	n.level = func(by float64) { r.inside.Add(r.e.Now(), by) }
+	n.fell = func(n *Node) {
+		r.falls++
+		r.note(history.Record{Kind: history.Fell, Node: n.id})
+		r.crash(n)
+	}
+	r.nodes = append(r.nodes, n)
+	r.byName[n.name] = n
+	if every := r.s.Service.Flush.us(); every > 0 && r.s.Service.Defer > 0 {
+		lots := r.e.Stream("flush of " + n.name)
+		var next func()
+		next = func() {
+			n.flush()
+			if n.state != history.Gone {
+				r.e.After(int64((0.5+lots.Float64())*float64(every)), next)
+			}
+		}
+		r.e.After(int64(lots.Float64()*float64(every)), next)
+	}
+	return n
+}
+
+// true is a request as its client made it.
+func (r *run) true(id uint64) *request { return r.stepping.open[id] }
+
+// settings are what the module is told, as the platform would tell it.
+func (r *run) settings() {
+	s := r.s
+	c := policy.Config{Hosts: s.Brokers, MaxAttempts: s.Rules.Attempts, Ask: true, AskWithin: time.Duration(s.Rules.Ask), Hints: true, MaxHint: 5 * time.Second,
+		MeanUnits: meanUnits, MaxUnits: mostUnits, ShareWorth: s.Rules.Share, ColdFrom: s.Cold.Share, Warm: time.Duration(s.Cold.Warm)}
+	if c.MaxAttempts == 0 {
+		c.MaxAttempts = 1 << 20
+	}
+	if len(s.Plans) == 0 {
+		c.MaxUnits = meanUnits
+	}
+	if s.Cold.Multiple > 0 && s.Cold.Warm > 0 {
+		least := math.Inf(1)
+		for _, k := range s.Nodes {
+			least = min(least, float64(k.Cores)*k.Speed)
+		}
+		c.TipWindow = time.Duration(s.Cold.Window)
+		c.ColdUnits = meanUnits * s.Cold.Multiple * s.Cold.Share * least * c.TipWindow.Seconds() / (r.mean / 1e6)
+	}
+	if s.Link.Keep > 0 {
+		c.Keep, c.Handshake = time.Duration(s.Link.Keep), float64(s.Service.Handshake.us()+s.Link.Handshake.us())/r.mean
+	}
+	for _, k := range r.classes {
+		x := policy.Class{Name: k.Name, Aim: time.Duration(k.Aim), Deadline: time.Duration(k.Patience), Worth: k.Worth}
+		if k.Repeat == "never" {
+			x.Repeat = policy.Unsafe
+		}
+		c.Classes = append(c.Classes, x)
+	}
+	r.config = c
+}
+
+func (r *run) terms() rules.Terms {
+	t := rules.Terms{MaxAttempts: int32(r.s.Rules.Attempts), Grace: r.s.Rules.Grace.us(), Slack: r.s.Rules.Slack.us(), Window: r.s.Cold.Window.us()}
+	if t.Grace == 0 {
+		t.Grace = 500_000
+	}
+	for _, k := range r.classes {
+		x := rules.Class{}
+		if k.Repeat == "never" {
+			x.Repeat = rules.Never
+		}
+		t.Classes = append(t.Classes, x)
+	}
+	t.Limit = func(volume int32) rules.Limit {
+		p := r.config.Plans[r.volumes[volume].plan]
+		return rules.Limit{Rate: p.Limit, Burst: p.LimitBurst, Slack: p.Slack}
+	}
+	return t
 }
 
 // Play runs a scenario with one design at all brokers. The same seed brings the same clients and troubles to every design.
@@ -52,99 +213,119 @@
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
 	}
+	if err := CheckDesign(design); err != nil {
+		return nil, err
+	}
 	from, to := s.Warm.us(), s.Last.us()
-	r := &run{s: s, e: engine.New(seed), from: from, asked: measure.NewBatches(from, to, batches), times: measure.NewBatches(from, to, batches),
+	r := &run{s: s, e: engine.New(seed), name: design, classes: s.classes(), byName: map[string]*Node{}, from: from, loadBy: 1,
+		asked: measure.NewBatches(from, to, batches), spent: measure.NewBatches(from, to, batches),
 		served: measure.NewBatches(from, to, batches), inside: measure.NewLevel(from, to, batches)}
-	level := func(by float64) { r.inside.Add(r.e.Now(), by) }
-	for _, k := range s.Nodes {
-		for range k.Count {
-			r.nodes = append(r.nodes, &Node{Cores: k.Cores, Speed: k.Speed, Room: k.Room, e: r.e, level: level})
-		}
+	per := max(to/SeriesParts, 1)
+	r.due, r.earned = ledger{per, make([]float64, SeriesParts)}, ledger{per, make([]float64, SeriesParts)}
+	r.who, r.again, r.lots, r.links = r.e.Stream("who"), r.e.Stream("again"), r.e.Stream("lots"), r.e.Stream("links")
+	for _, c := range r.classes {
+		r.shares += c.Share
 	}
-	for i := range s.Brokers {
-		d, err := NewDesign(design)
-		if err != nil {
-			return nil, err
-		}
-		r.brokers = append(r.brokers, &broker{design: d, rng: r.e.Stream(fmt.Sprint("broker ", i)), out: make([]int32, len(r.nodes))})
+	r.mean = float64(s.Load.Work.us())
+	r.settings()
+	r.checker = rules.New(r.terms())
+	r.build()
+	r.makeVolumes()
+	for _, b := range r.brokers {
+		r.fail(b.wake())
 	}
 	r.troubles()
 	r.clients()
 	r.e.Run(to)
-	res := &Result{Design: design, Seed: seed, Asked: r.asked.Rate(), Served: r.served.Rate(), Time: r.times.Mean(), Inside: r.inside.Mean(to),
-		Full: r.full, GivenUp: r.given, Events: r.e.Count(), Requests: r.seen}
-	res.Median, res.P99 = float64(r.latency.Quantile(0.5))/1e6, float64(r.latency.Quantile(0.99))/1e6
-	return res, nil
-}
-
-// clients come at times of their own, whatever becomes of those before them.
-func (r *run) clients() {
-	when, size, who := r.e.Stream("arrivals"), r.s.Load.work(r.e.Stream("work")), r.e.Stream("brokers")
-	mean := 1e6 / r.s.Load.Rate
-	at := 0.0 // kept as it is: rounded each time, short distances would change the rate
-	var next func()
-	next = func() {
-		r.ask(r.brokers[who.IntN(len(r.brokers))], size())
-		at += when.ExpFloat64() * mean
-		r.e.At(int64(at), next)
-	}
-	at = when.ExpFloat64() * mean
-	r.e.At(int64(at), next)
-}
-
-// ask is one request, from its client's view.
-func (r *run) ask(b *broker, size float64) {
-	r.seen++
-	began := r.e.Now()
-	r.asked.Add(began, 1)
-	i := b.design.Pick(b.rng, b.out)
-	w := &Work{Size: size}
-	w.done = func() {
-		b.out[i]--
-		w.gone = true // its client waits no longer
-		if took := r.e.Now() - began; began >= r.from {
-			r.times.Add(began, float64(took)/1e6)
-			r.latency.Add(took)
+	if patience := r.patience(); patience > 0 && r.err == nil { // after the last client's first try it goes on until all has its answer
+		r.e.Run(to + 2*patience + 10_000_000)
+	}
+	if r.err != nil {
+		return nil, r.err
+	}
+	r.checker.Finish(r.e.Now())
+	return r.result(design, seed, to), nil
+}
+
+// patience is the longest of all classes; 0: for ever.
+func (r *run) patience() (most int64) {
+	if len(r.s.Classes) == 0 && r.s.Load.Patience == 0 {
+		return 0
+	}
+	for _, c := range r.classes {
+		most = max(most, c.Patience.us())
+	}
+	return most
+}
+
+// ended: no client begins anew.
+func (r *run) ended() bool { return r.e.Now() >= r.s.Last.us() }
+
+// build puts up nodes, discovery and brokers. All brokers begin with the list.
+func (r *run) build() {
+	s := r.s
+	power, count := 0.0, 0
+	for _, k := range s.Nodes {
+		power += float64(k.Count*k.Cores) * k.Speed
+		count += k.Count
+	}
+	mean := power / float64(count)
+	zones := int32(max(s.Zones, 1))
+	for _, k := range s.Nodes {
+		for range k.Count {
+			i := int32(len(r.nodes))
+			n := r.newNode(k.Cores, k.Speed, k.Room, i, i%zones, float64(k.Cores)*k.Speed/mean)
+			r.checker.Place(n.id, n.shard, n.zone)
 		}
-		r.served.Add(r.e.Now(), 1)
-	}
-	if !r.nodes[i].Take(w) {
-		r.full++
-		return
-	}
-	b.out[i]++
-	if p := r.s.Load.Patience.us(); p > 0 {
-		r.e.After(p, func() {
-			if !w.gone {
-				w.gone = true
-				b.out[i]-- // the broker has ended the attempt; the node may go on with it
-				r.given++
-				w.done = func() {}
-			}
-		})
+	}
+	r.first = len(r.nodes)
+	r.discovery = &discovery{r: r, lots: r.e.Stream("discovery"), times: 1}
+	r.discovery.first()
+	for i := range int32(s.Brokers) {
+		r.brokers = append(r.brokers, &broker{r: r, id: i, zone: i % zones, rng: r.e.Stream(fmt.Sprint("broker ", i)), known: append([]policy.Member(nil), r.discovery.seen...)})
 	}
 }
 
-// troubles come to their nodes at times of each node's own.
-func (r *run) troubles() {
-	for k, p := range r.s.Trouble {
-		lot := r.e.Stream(fmt.Sprint("trouble ", k))
-		for i, n := range r.nodes {
-			if lot.Float64() >= p.Share {
-				continue
-			}
-			when := r.e.Stream(fmt.Sprint("trouble ", k, " of node ", i))
-			var next func()
-			next = func() {
-				if p.Kind == "pause" {
-					n.Pause(p.Last.us())
-				} else {
-					n.Silence()
-					r.e.After(p.Last.us(), n.Speak)
-				}
-				r.e.After(p.Last.us()+int64(when.ExpFloat64()*float64((p.Every-p.Last).us())), next)
-			}
-			r.e.After(int64(when.ExpFloat64()*float64((p.Every-p.Last).us())), next)
+func (r *run) result(design string, seed uint64, to int64) *Result {
+	res := &Result{Scenario: r.s.Name, Design: design, Seed: seed, Asked: r.asked.Rate(), Served: r.served.Rate(), Time: r.spent.Mean(), Inside: r.inside.Mean(to),
+		Full: r.full, GivenUp: r.given, Refused: r.refused, Failed: r.failed, Late: r.late, Unheard: r.unheard, Attempts: r.attempts, Handshakes: r.handshakes,
+		Calls: r.discovery.calls, Fell: r.falls, MostOpen: r.mostOpen, Moot: r.moot, Events: r.e.Count(), Requests: r.seen}
+	res.Median, res.P99 = float64(r.latency.Quantile(0.5))/1e6, float64(r.latency.Quantile(0.99))/1e6
+	if due := r.due.sum(); due > 0 {
+		res.Service = r.earned.sum() / due
+	}
+	if r.dueInside > 0 {
+		res.Reserved = r.earnedInside / r.dueInside
+	}
+	for k, due := range r.due.parts {
+		part := 0.0
+		if due > 0 {
+			part = math.Round(1e4*r.earned.parts[k]/due) / 1e4
+		}
+		res.Series = append(res.Series, part)
+	}
+	if c := r.checker.Count(); len(c) > 0 {
+		res.Broken, res.Words = c, r.checker.Broken()
+		if len(res.Words) > 10 {
+			res.Words = res.Words[:10]
 		}
 	}
+	return res
+}
+
+// BrokenRules names what was broken, most often first.
+func (res *Result) BrokenRules() string {
+	names := make([]string, 0, len(res.Broken))
+	for k := range res.Broken {
+		names = append(names, k)
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := names[i], names[j]
+		return res.Broken[a] > res.Broken[b] || res.Broken[a] == res.Broken[b] && a < b
+	})
+	out := ""
+	for _, k := range names {
+		out += fmt.Sprintf("%s %d ", k, res.Broken[k])
+	}
+	return out
 }
