Lab: most that a cold node got against what the settings say that any bears

Each play now tells its worst window as a part of N + 3 root N + 3, N being what the settings tell, and the sends to cold nodes; cold.bears sets what is told apart from what nodes can do.

--- a/internal/lab/model/broker.go
+++ b/internal/lab/model/broker.go
@@ -272,7 +272,7 @@
 		n.conns++
 		at.c = &conn{n: n, epoch: n.epoch, busy: true}
 	}
-	if n.offer(); n.down {
+	if n.offer(at.q.work); n.down {
 		return // it fell, and all that it had is lost
 	}
 	q := at.q
--- a/internal/lab/model/design.go
+++ b/internal/lab/model/design.go
@@ -409,13 +409,13 @@
 	if n.cold == nil || n.cold.Multiple == 0 || n.began == 0 || n.warmth() >= 1 {
 		return true
 	}
-	now, count := n.e.Now(), 0
-	for _, at := range n.recent {
-		if at >= now-n.cold.Window.us() {
-			count++
+	now, sum := n.e.Now(), 0.0
+	for _, x := range n.recent {
+		if x.at >= now-n.cold.Window.us() {
+			sum += x.size
 		}
 	}
-	return float64(count+len(n.open)+1) < n.bears()
+	return sum+float64(len(n.open)+1) < n.bears()
 }
 
 // expects is how long a request would take there, in microseconds.
--- a/internal/lab/model/node.go
+++ b/internal/lab/model/node.go
@@ -28,6 +28,7 @@
 	mean    float64 // of a request's work
 	level   func(by float64)
 	fell    func(n *Node)
+	reached func() // while cold
 
 	waiting []*Work // from head on
 	head    int
@@ -46,13 +47,21 @@
 	conns   int
 	keys    []uint64
 	putOff  float64
-	recent  []int64 // arrivals within the window of a fall
+	recent  []offer // within the window of a fall
+	peak    float64 // most of it against what the settings say that any node bears, chance included
+	told    float64 // requests of mean work that the settings say any node bears in the window at its start
 	served  int
 	open    []*attempt
 	heir    *Node   // what has replaced it
 	kind    float64 // its power against the mean, as its kind tells
 }
 
+// offer is what has reached a cold node, in requests of mean work.
+type offer struct {
+	at   int64
+	size float64
+}
+
 // Work is one attempt at a node.
 type Work struct {
 	Size  float64 // microseconds of a core at speed 1
@@ -86,16 +95,25 @@
 }
 
 // offer counts what reaches it, turned away or not: too much of it in too short a time, and a cold node falls.
-func (n *Node) offer() {
+func (n *Node) offer(size float64) {
 	if n.cold == nil || n.cold.Multiple == 0 || n.began == 0 || n.warmth() >= 1 {
 		return
 	}
+	if n.reached != nil {
+		n.reached()
+	}
 	now := n.e.Now()
-	n.recent = append(n.recent, now)
-	for n.recent[0] < now-n.cold.Window.us() {
+	n.recent = append(n.recent, offer{now, size / n.mean})
+	for n.recent[0].at < now-n.cold.Window.us() {
 		n.recent = n.recent[1:]
 	}
-	if most := n.bears(); float64(len(n.recent)) > most+3*math.Sqrt(most)+3 {
+	sum := 0.0
+	for _, x := range n.recent {
+		sum += x.size
+	}
+	told := n.told * (1 + (1-n.cold.Share)/n.cold.Share*max(0, float64(now-n.began-n.cold.Window.us()))/float64(n.cold.Warm.us()))
+	n.peak = max(n.peak, sum/withChance(told))
+	if sum > withChance(n.bears()) {
 		n.fallen = true
 		n.stop()
 		n.down = true
@@ -103,6 +121,9 @@
 	}
 }
 
+// withChance is how many requests come in a window at the most if so many do in the mean.
+func withChance(n float64) float64 { return n + 3*math.Sqrt(n) + 3 }
+
 // Take files an attempt, or reports that the room is full.
 func (n *Node) Take(w *Work) bool {
 	if n.Room > 0 && n.busy >= n.Cores && n.queued() >= n.Room {
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -40,8 +40,10 @@
 	Unheard    int            `json:"unheard"`
 	Attempts   int            `json:"attempts"`
 	Handshakes int            `json:"handshakes"`
-	Calls      int            `json:"calls"` // of discovery
-	Fell       int            `json:"fell"`  // cold nodes
+	Calls      int            `json:"calls"`     // of discovery
+	Fell       int            `json:"fell"`      // cold nodes
+	ColdPeak   float64        `json:"cold_peak"` // most that a cold node got in the window, against what the settings say that any bears, chance included
+	ColdSends  int            `json:"cold_sends"`
 	MostOpen   int            `json:"most_open"`
 	Moot       int            `json:"moot"` // sends that could not be
 	Requests   int            `json:"requests"`
@@ -105,6 +107,7 @@
 	refused, failed, late   int
 	unheard, attempts       int
 	handshakes, falls       int
+	coldSends               int
 	mostOpen                int
 }
 
@@ -130,9 +133,10 @@
 
 func (r *run) newNode(cores int, speed float64, room int, shard, zone int32, kind float64) *Node {
 	n := &Node{Cores: cores, Speed: speed, Room: room, id: int32(len(r.nodes)), shard: shard, zone: zone, kind: kind, e: r.e, service: &r.s.Service,
-		cold: &r.s.Cold, mean: r.mean}
+		cold: &r.s.Cold, mean: r.mean, told: r.config.ColdUnits / meanUnits}
 	n.name = fmt.Sprintf("n%05d", n.id)
 	n.level = func(by float64) { r.inside.Add(r.e.Now(), by) }
+	n.reached = func() { r.coldSends++ }
 	n.fell = func(n *Node) {
 		r.falls++
 		r.note(history.Record{Kind: history.Fell, Node: n.id})
@@ -169,11 +173,14 @@
 		c.MaxUnits = meanUnits
 	}
 	if s.Cold.Multiple > 0 && s.Cold.Warm > 0 {
+		c.TipWindow = time.Duration(s.Cold.Window)
+		c.ColdUnits = s.Cold.Bears
+	}
+	if c.TipWindow > 0 && c.ColdUnits == 0 {
 		least := math.Inf(1)
 		for _, k := range s.Nodes {
 			least = min(least, float64(k.Cores)*k.Speed)
 		}
-		c.TipWindow = time.Duration(s.Cold.Window)
 		c.ColdUnits = meanUnits * s.Cold.Multiple * s.Cold.Share * least * c.TipWindow.Seconds() / (r.mean / 1e6)
 	}
 	if s.Link.Keep > 0 {
@@ -304,6 +311,10 @@
 		}
 		res.Series = append(res.Series, part)
 	}
+	for _, n := range r.nodes {
+		res.ColdPeak = max(res.ColdPeak, n.peak)
+	}
+	res.ColdSends = r.coldSends
 	if c := r.checker.Count(); len(c) > 0 {
 		res.Broken, res.Words = c, r.checker.Broken()
 		if len(res.Words) > 10 {
--- a/internal/lab/model/scenario.go
+++ b/internal/lab/model/scenario.go
@@ -71,6 +71,7 @@
 	Warm     Span    `toml:"warm"`
 	Multiple float64 `toml:"multiple"` // sent more than so many times its power it falls; 0: it never does
 	Window   Span    `toml:"window"`   // in this time
+	Bears    float64 `toml:"bears"`    // units in the window that the settings say any node bears at its start; 0: what follows from the slowest kind
 }
 
 // Link is the network between brokers and nodes.
@@ -192,7 +193,7 @@
 		part("service.defer", s.Service.Defer), need("service.flush", s.Service.Flush >= 0 && (s.Service.Defer == 0 || s.Service.Flush > 0), d(s.Service.Flush)),
 		need("cold.share", s.Cold.Share >= 0 && s.Cold.Share <= 1 && (s.Cold.Warm == 0 || s.Cold.Share > 0), s.Cold.Share), some("cold.warm", s.Cold.Warm),
 		amount("cold.multiple", s.Cold.Multiple), need("cold.window", s.Cold.Window >= 0 && (s.Cold.Multiple == 0 || s.Cold.Window > 0), d(s.Cold.Window)),
-		some("link.delay", s.Link.Delay), some("link.jitter", s.Link.Jitter), some("link.handshake", s.Link.Handshake), some("link.keep", s.Link.Keep),
+		amount("cold.bears", s.Cold.Bears), some("link.delay", s.Link.Delay), some("link.jitter", s.Link.Jitter), some("link.handshake", s.Link.Handshake), some("link.keep", s.Link.Keep),
 		amount("discovery.calls", s.Discovery.Calls), some("discovery.wait", s.Discovery.Wait), some("discovery.late", s.Discovery.Late),
 		need("rules.attempts", s.Rules.Attempts >= 0, s.Rules.Attempts), some("rules.grace", s.Rules.Grace), some("rules.slack", s.Rules.Slack),
 		part("rules.share", s.Rules.Share), part("rules.beyond", s.Rules.Beyond), some("rules.ask", s.Rules.Ask)}
