--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -5,23 +5,24 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"runtime"
 	"sync"
+	"syscall"
 	"text/tabwriter"
 
-	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
 
+	"poppyarch/internal/lab/experiment"
 	"poppyarch/internal/lab/measure"
 	"poppyarch/internal/lab/model"
-	"poppyarch/internal/tomlat"
 )
 
 // labCommand is the model: designs tried on scenarios, without a socket.
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Try designs on a model of clients, brokers and nodes", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	c.AddCommand(labRun(), labCompare())
+	c.AddCommand(labRun(), labCompare(), labSweep())
 	return c
 }
 
@@ -109,6 +110,46 @@
 	return c
 }
 
+func labSweep() *cobra.Command {
+	var out string
+	c := &cobra.Command{Use: "sweep PLAN -o RESULTS", Short: "Play designs over a grid until the figures are as narrow as wanted; goes on where it was ended",
+		Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			p, err := experiment.Read(args[0])
+			if err != nil {
+				return &exit{exitUsage, err}
+			}
+			r, err := experiment.Open(out, p.Keys())
+			if err != nil {
+				return &exit{exitUsage, err}
+			}
+			defer r.Close()
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			w := cmd.OutOrStdout()
+			fmt.Fprintf(w, "%s; the others less %s, seed by seed\n", p.Measure, p.Designs[0])
+			return p.Run(ctx, r, func(l experiment.Line) {
+				for i, k := range p.Keys() {
+					fmt.Fprintf(w, "%s=%s ", k, l.Values[i])
+				}
+				fmt.Fprintf(w, "%-10s %v", l.Design, l.Mean)
+				if l.Design != p.Designs[0] {
+					verdict := ""
+					if l.Less.Holds(0) {
+						verdict = ", no difference shown"
+					}
+					fmt.Fprintf(w, "  (%v%s)", l.Less, verdict)
+				}
+				fmt.Fprintf(w, "  %d seeds\n", l.Mean.N)
+			})
+		}}
+	c.Flags().StringVarP(&out, "out", "o", "", "results, as CSV; what is there is not played again")
+	if err := c.MarkFlagRequired("out"); err != nil {
+		panic(err) // the flag is declared on the line above
+	}
+	return c
+}
+
 func served(r *model.Result) float64 { return r.Served.Mean }
 func p99(r *model.Result) float64    { return 1000 * r.P99 }
 
@@ -126,7 +167,7 @@
 
 // play reads a scenario and runs all designs on all seeds, side by side; a run itself is one loop.
 func (f *labFlags) play(path string, designs []string) (*model.Scenario, [][]*model.Result, error) {
-	s, err := readScenario(path)
+	s, err := experiment.ReadScenario(path)
 	if err != nil {
 		return nil, nil, &exit{exitUsage, err}
 	}
@@ -160,23 +201,6 @@
 	return s, all, failed
 }
 
-// readScenario reads a file and names it, the line and the key of what is wrong.
-func readScenario(path string) (*model.Scenario, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, err
-	}
-	defer file.Close()
-	s := &model.Scenario{}
-	if err := toml.NewDecoder(file).DisallowUnknownFields().Decode(s); err != nil {
-		return nil, tomlat.Error(path, err)
-	}
-	if err := s.Check(); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
-	return s, nil
-}
-
 func (f *labFlags) json(w io.Writer, all [][]*model.Result) error {
 	e := json.NewEncoder(w)
 	for _, rs := range all {
--- a/cmd/poppyarch/lab_test.go
+++ b/cmd/poppyarch/lab_test.go
@@ -35,3 +35,22 @@
 		t.Errorf("exit %d, %s", code, out)
 	}
 }
+
+// A sweep says each line once and goes on from its file.
+func TestLabSweep(t *testing.T) {
+	dir := t.TempDir()
+	for name, text := range map[string]string{"s.toml": "brokers = 1\nlast = \"1s\"\n[[nodes]]\ncount = 2\ncores = 1\nspeed = 1\n[load]\nrate = 50.0\nwork = \"20ms\"\nspread = \"constant\"\n",
+		"p.toml": "scenario = \"s.toml\"\ndesigns = [\"two\", \"round\"]\nruns = 2\n[[vary]]\nkeys = [\"load.rate\"]\nvalues = [[40.0], [60.0]]\n"} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	plan, out := filepath.Join(dir, "p.toml"), filepath.Join(dir, "r.csv")
+	code, first := run("lab", "sweep", plan, "-o", out)
+	if _, again := run("lab", "sweep", plan, "-o", out); code != 0 || again != first || strings.Count(first, "2 seeds") != 4 {
+		t.Errorf("exit %d\n%s\n%s", code, first, again)
+	}
+	if code, text := run("lab", "sweep", plan, "-o", filepath.Join(dir, "s.toml")); code != exitUsage || !strings.Contains(text, "s.toml") {
+		t.Errorf("exit %d, %s", code, text)
+	}
+}
--- a/internal/lab/model/scenario.go
+++ b/internal/lab/model/scenario.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/pelletier/go-toml/v2"
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
@@ -292,3 +293,16 @@
 	}
 	return distuv.Exponential{Rate: 1 / mean, Src: src}.Rand
 }
+
+// Copy is a scenario of its own with the same figures.
+func (s *Scenario) Copy() (*Scenario, error) {
+	text, err := toml.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	c := &Scenario{}
+	if err := toml.Unmarshal(text, c); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	return c, nil
+}
