Lab: bisect finds the figure at which a design's measure crosses a bound

Need: an operator asks up to which load or with how many nodes service holds. Both ends are played, what lies between is halved, seeds are added while the interval holds the bound, and a step that stays unsure says so. Theory: the rate at which M/M/1 takes 50 ms is met (TestBisectMeetsTheory).

--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -22,7 +22,7 @@
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Try designs on a model of clients, brokers and nodes", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	c.AddCommand(labRun(), labCompare(), labSweep())
+	c.AddCommand(labRun(), labCompare(), labSweep(), labBisect())
 	return c
 }
 
@@ -150,6 +150,48 @@
 	return c
 }
 
+func labBisect() *cobra.Command {
+	b := &experiment.Bisection{}
+	c := &cobra.Command{Use: "bisect SCENARIO --key KEY --from A --to B --bound X", Short: "Find the figure at which a design's measure crosses a bound",
+		Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var err error
+			if b.Scenario, err = experiment.ReadScenario(args[0]); err != nil {
+				return &exit{exitUsage, err}
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			w := cmd.OutOrStdout()
+			found, err := b.Run(ctx, func(s experiment.Step) {
+				side, sure := "under", ""
+				if s.Above {
+					side = "at or above"
+				}
+				if !s.Sure {
+					sure = ", not sure"
+				}
+				fmt.Fprintf(w, "%s=%.6g  %s %v  %d seeds, %s %v%s\n", b.Key, s.At, b.Measure, s.Mean, s.Mean.N, side, b.Bound, sure)
+			})
+			if err != nil {
+				return &exit{exitUsage, err}
+			}
+			fmt.Fprintf(w, "%s crosses %v between %s=%.6g and %.6g\n", b.Measure, b.Bound, b.Key, found.Near.At, found.Far.At)
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVar(&b.Key, "key", "load.rate", "the figure of the scenario that is looked for")
+	f.Float64Var(&b.From, "from", 0, "one end")
+	f.Float64Var(&b.To, "to", 0, "the other")
+	f.Float64Var(&b.Bound, "bound", 0.8, "of the measure")
+	f.StringVarP(&b.Design, "design", "d", "module", "design")
+	f.StringVarP(&b.Measure, "measure", "m", "service", "measure")
+	f.IntVar(&b.Runs, "runs", 6, "seeds at a time")
+	f.IntVar(&b.Most, "most", 24, "seeds for a step at which the interval holds the bound")
+	f.Uint64Var(&b.Seed, "seed", 1, "the first")
+	f.IntVar(&b.Steps, "steps", 7, "halvings")
+	return c
+}
+
 func served(r *model.Result) float64 { return r.Served.Mean }
 func p99(r *model.Result) float64    { return 1000 * r.P99 }
 
--- a/cmd/poppyarch/lab_test.go
+++ b/cmd/poppyarch/lab_test.go
@@ -54,3 +54,17 @@
 		t.Errorf("exit %d, %s", code, text)
 	}
 }
+
+func TestLabBisect(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "s.toml")
+	if err := os.WriteFile(path, []byte("brokers = 1\nlast = \"10s\"\n[[nodes]]\ncount = 1\ncores = 1\nspeed = 1\n[load]\nrate = 10.0\nwork = \"20ms\"\nspread = \"constant\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	args := []string{"lab", "bisect", path, "-d", "random", "-m", "time_ms", "--from", "10", "--to", "48", "--bound", "40", "--steps", "3", "--runs", "3"}
+	if code, out := run(args...); code != 0 || strings.Count(out, "\n") != 6 || !strings.Contains(out, "time_ms crosses 40 between load.rate=") {
+		t.Errorf("exit %d, %s", code, out)
+	}
+	if code, out := run(append(args, "--key", "load.joy")...); code != exitUsage || !strings.Contains(out, "load.joy: unknown key") {
+		t.Errorf("exit %d, %s", code, out)
+	}
+}
--- a/internal/lab/experiment/experiment_test.go
+++ b/internal/lab/experiment/experiment_test.go
@@ -139,3 +139,39 @@
 		}
 	}
 }
+
+// The load at which a queue's time crosses a bound is where theory has it: M/M/1 with work w takes w / (1 - rate w).
+func TestBisectMeetsTheory(t *testing.T) {
+	s, err := ReadScenario(filepath.Join(filepath.Dir(files(t, plan)), "s.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Brokers, s.Nodes[0].Count, s.Load.Patience, s.Last = 1, 1, 0, model.Span(200e9)
+	b := &Bisection{Scenario: s, Key: "load.rate", From: 5, To: 45, Design: "random", Measure: "time_ms", Bound: 50, Runs: 4, Most: 8, Seed: 1, Steps: 5}
+	steps := 0
+	f, err := b.Run(context.Background(), func(Step) { steps++ })
+	if want := 30.0; err != nil || steps != 7 || f.Near.Above || !f.Far.Above || f.Near.At > want+1.5 || f.Far.At < want-1.5 || f.Far.At-f.Near.At > 1.26 {
+		t.Errorf("%v, %d steps, between %v and %v, want %v", err, steps, f.Near.At, f.Far.At, want)
+	}
+	b.To = 6
+	if _, err := b.Run(context.Background(), func(Step) {}); err == nil || !strings.Contains(err.Error(), "under 50 at both ends, 5 and 6") {
+		t.Error(err)
+	}
+	b.Key, b.From, b.To, b.Bound = "nodes[0].count", 1, 4, 30
+	b.Scenario.Load.Rate = 40
+	if f, err := b.Run(context.Background(), func(s Step) {
+		if s.At != float64(int(s.At)) {
+			t.Errorf("%v nodes", s.At)
+		}
+	}); err != nil || f.Far.At-f.Near.At != 1 {
+		t.Errorf("%v %+v", err, f)
+	}
+	for want, spoil := range map[string]func(b *Bisection){"load.joy: unknown key": func(b *Bisection) { b.Key = "load.joy" }, "steps: 0": func(b *Bisection) { b.Steps = 0 },
+		"both are 1": func(b *Bisection) { b.To = 1 }, "runs: 1": func(b *Bisection) { b.Runs = 1 }, "design \"x\"": func(b *Bisection) { b.Design = "x" }} {
+		c := *b
+		spoil(&c)
+		if _, err := c.Run(context.Background(), func(Step) {}); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, want %s", err, want)
+		}
+	}
+}
