--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -11,9 +11,11 @@
 	"syscall"
 	"text/tabwriter"
 
+	"github.com/pelletier/go-toml/v2"
 	"github.com/spf13/cobra"
 
 	"poppyarch/internal/lab/experiment"
+	"poppyarch/internal/lab/hunt"
 	"poppyarch/internal/lab/measure"
 	"poppyarch/internal/lab/model"
 )
@@ -22,7 +24,7 @@
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Try designs on a model of clients, brokers and nodes", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	c.AddCommand(labRun(), labCompare(), labSweep(), labBisect())
+	c.AddCommand(labRun(), labCompare(), labSweep(), labBisect(), labHunt())
 	return c
 }
 
@@ -192,6 +194,47 @@
 	return c
 }
 
+func labHunt() *cobra.Command {
+	h := &hunt.Hunt{}
+	var out string
+	c := &cobra.Command{Use: "hunt SCENARIO -o CASE", Short: "Search for troubles under which a design breaks a rule or falls behind, and make the case small",
+		Args: usage(cobra.ExactArgs(1)),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var err error
+			if h.Base, err = experiment.ReadScenario(args[0]); err != nil {
+				return &exit{exitUsage, err}
+			}
+			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			w := cmd.OutOrStdout()
+			f, err := h.Run(ctx, func(try int, b hunt.Bad) { fmt.Fprintf(w, "candidate %d: %s %v\n", try+1, h.Design, b) })
+			if err != nil {
+				return err
+			}
+			text, err := toml.Marshal(f.Scenario)
+			if err != nil {
+				return err
+			}
+			head := fmt.Sprintf("# Found by lab hunt: %s %v against %s, seeds %d to %d.\n", h.Design, f.Bad, h.Against, h.Seed, h.Seed+uint64(h.Runs)-1)
+			if err := os.WriteFile(out, append([]byte(head), text...), 0o644); err != nil {
+				return err
+			}
+			fmt.Fprintf(w, "made small: %s %v, %d plays, %s\n", h.Design, f.Bad, f.Plays, out)
+			return nil
+		}}
+	f := c.Flags()
+	f.StringVarP(&h.Design, "design", "d", "module", "design")
+	f.StringVar(&h.Against, "against", "oracle", "design that it is held against")
+	f.Uint64Var(&h.Seed, "seed", 1, "of the search, and of the first play")
+	f.IntVar(&h.Runs, "runs", 2, "seeds of a candidate")
+	f.IntVar(&h.Tries, "tries", 60, "candidates")
+	f.StringVarP(&out, "out", "o", "", "the case, a scenario")
+	if err := c.MarkFlagRequired("out"); err != nil {
+		panic(err) // the flag is declared on the line above
+	}
+	return c
+}
+
 func served(r *model.Result) float64 { return r.Served.Mean }
 func p99(r *model.Result) float64    { return 1000 * r.P99 }
 
--- a/cmd/poppyarch/lab_test.go
+++ b/cmd/poppyarch/lab_test.go
@@ -68,3 +68,17 @@
 		t.Errorf("exit %d, %s", code, out)
 	}
 }
+
+func TestLabHunt(t *testing.T) {
+	dir := t.TempDir()
+	path, out := filepath.Join(dir, "s.toml"), filepath.Join(dir, "case.toml")
+	if err := os.WriteFile(path, []byte("brokers = 2\nlast = \"2s\"\n[[nodes]]\ncount = 2\ncores = 1\nspeed = 1\n[load]\nrate = 40.0\nwork = \"20ms\"\nspread = \"constant\"\npatience = \"300ms\"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, text := run("lab", "hunt", path, "-o", out, "-d", "round", "--tries", "4", "--runs", "1"); code != 0 || !strings.Contains(text, "made small: round") {
+		t.Errorf("exit %d, %s", code, text)
+	}
+	if code, text := run("lab", "run", out, "-d", "round", "--runs", "2"); code != 0 {
+		t.Errorf("the case cannot be played: exit %d, %s", code, text)
+	}
+}
