Lab: what all brokers begin with goes without saying; what the model and its queue cost

Seen: BenchmarkPlay at 10,000 nodes and 100 brokers spent its time on a million records of the first list and a map for each node seen.

--- a/internal/lab/model/broker.go
+++ b/internal/lab/model/broker.go
@@ -58,6 +58,7 @@
 	rng      *rand.Rand
 	epoch    int
 	down     bool
+	begun    bool // it has had a process, and what that began with went without saying
 	watching bool
 	open     map[uint64]*request
 	idle     map[*Node][]*conn
@@ -348,6 +349,11 @@
 	for len(b.known) < len(b.r.nodes) {
 		b.known = append(b.known, policy.Member{})
 	}
+	if !b.begun {
+		b.begun = true
+		b.step(policy.Event{Kind: kind, Members: list})
+		return
+	}
 	if kind == policy.ListFull {
 		named := make(map[int32]bool, len(list))
 		for i := range list {
--- a/internal/lab/model/design.go
+++ b/internal/lab/model/design.go
@@ -181,12 +181,12 @@
 		m := ev.Members[i]
 		n := p.nodes[m.Node]
 		if n == nil {
-			n = &seen{flows: map[string]*tags{}}
+			n = &seen{}
 			p.nodes[m.Node] = n
 		}
 		n.m = m
 	}
-	p.list, p.byShard = p.list[:0], map[int][]*seen{}
+	p.list, p.byShard = p.list[:0], make(map[int][]*seen, len(p.byShard))
 	for _, n := range p.nodes {
 		if n.m.State == policy.Ready {
 			p.list = append(p.list, n)
@@ -259,6 +259,9 @@
 	}
 	f := n.flows[h.a.Volume]
 	if f == nil {
+		if n.flows == nil {
+			n.flows = map[string]*tags{}
+		}
 		f = &tags{}
 		n.flows[h.a.Volume] = f
 	}
--- a/internal/lab/rules/rules.go
+++ b/internal/lab/rules/rules.go
@@ -91,6 +91,7 @@
 	sends       []sent // while cold
 	cold        bool
 	began       int64
+	first       bool // up before the history began, and named to all brokers
 }
 
 type sent struct {
@@ -102,6 +103,7 @@
 	told  map[int32]history.State
 	since map[int32]int64
 	start map[int32]int64 // of the node's process, as told
+	anew  bool            // its process is not the first: it knows nothing but what it was told since
 }
 
 // Checker reads records in the order of their times.
@@ -191,7 +193,8 @@
 		}
 		v.told[r.Node], v.start[r.Node] = r.State, r.Since
 	case history.Started:
-		c.nodes[r.Node] = &node{shard: r.Shard, zone: r.Zone, cold: true, began: r.At}
+		old := c.nodes[r.Node]
+		c.nodes[r.Node] = &node{first: old != nil && old.first, shard: r.Shard, zone: r.Zone, cold: true, began: r.At}
 	case history.Fell:
 		c.fell(r)
 	case history.Died:
@@ -276,6 +279,7 @@
 	}
 	v := c.view(r.Broker)
 	state, known := v.told[r.Node]
+	known = known || to.first && !v.anew
 	if !known {
 		c.fault("list", r, "sent to a node that the broker's list has never named")
 	} else if state != history.Up && r.At > v.since[r.Node]+c.terms.Grace {
@@ -302,8 +306,10 @@
 	return n
 }
 
-// Place tells where a node stands that was up before the history began.
-func (c *Checker) Place(id, shard, zone int32) { c.nodes[id] = &node{shard: shard, zone: zone} }
+// Place tells where a node stands that was up before the history began, and that all brokers begin with it on their lists.
+func (c *Checker) Place(id, shard, zone int32) {
+	c.nodes[id] = &node{shard: shard, zone: zone, first: true}
+}
 
 // Warm tells that a node may be forgotten as a cold one.
 func (c *Checker) Warm(id int32) {
@@ -444,6 +450,7 @@
 		}
 	}
 	delete(c.views, r.Broker)
+	c.view(r.Broker).anew = true
 	delete(c.taken, r.Broker)
 	delete(c.further, r.Broker)
 }
