--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -92,11 +92,9 @@
 				return f.json(out, all)
 			}
 			fmt.Fprintf(out, "%s less %s, %d seeds:\n", args[1], args[2], f.runs)
-			for _, x := range []struct {
-				name string
-				of   func(*model.Result) float64
-			}{{"served a second", served}, {"p99, ms", p99}, {"given up", func(r *model.Result) float64 { return float64(r.GivenUp) }}} {
-				d, err := measure.Paired(values(all[0], x.of), values(all[1], x.of))
+			for _, name := range []string{"service", "reserved", "served", "p99_ms", "refused", "failed", "connections", "fell", "broken"} {
+				of := experiment.Measures[name]
+				d, err := measure.Paired(values(all[0], of), values(all[1], of))
 				if err != nil {
 					return err
 				}
@@ -104,7 +102,7 @@
 				if d.Holds(0) {
 					verdict = "no difference shown"
 				}
-				fmt.Fprintf(out, "  %-16s %v  %s\n", x.name, d, verdict)
+				fmt.Fprintf(out, "  %-12s %v  %s\n", name, d, verdict)
 			}
 			return nil
 		}}
--- a/cmd/poppyarch/lab_test.go
+++ b/cmd/poppyarch/lab_test.go
@@ -31,7 +31,8 @@
 	if _, second := run("lab", "run", path, "--runs", "2"); code != 0 || first != second || !strings.Contains(first, "two") {
 		t.Errorf("exit %d\n%s\n%s", code, first, second)
 	}
-	if code, out := run("lab", "compare", path, "two", "random", "--runs", "4"); code != 0 || !strings.Contains(out, "two less random, 4 seeds") {
+	if code, out := run("lab", "compare", path, "two", "random", "--runs", "4"); code != 0 || !strings.Contains(out, "two less random, 4 seeds") ||
+		!strings.Contains(out, "service") || strings.Count(out, "\n") != 10 {
 		t.Errorf("exit %d, %s", code, out)
 	}
 }
--- a/internal/lab/rules/rules_test.go
+++ b/internal/lab/rules/rules_test.go
@@ -86,7 +86,8 @@
 // What a broker had taken dies with it and is owed no answer; what it was told dies too.
 func TestDeathOfABroker(t *testing.T) {
 	c := New(Terms{Classes: []Class{{}}, Grace: 500})
-	for _, r := range []history.Record{{Kind: history.Told}, {At: 1, Kind: history.Taken, Request: 1, Until: 9}, {At: 2, Kind: history.Died}, {At: 3, Kind: history.Taken, Request: 2, Until: 9},
+	c.Place(0, 0, 0) // on every first list; a second process knows only what it is told
+	for _, r := range []history.Record{{Kind: history.Taken, Request: 9, Until: 9}, {Kind: history.Sent, Request: 9}, {Kind: history.Ended, Request: 9}, {Kind: history.Answered, Request: 9}, {At: 1, Kind: history.Taken, Request: 1, Until: 9}, {At: 2, Kind: history.Died}, {At: 3, Kind: history.Taken, Request: 2, Until: 9},
 		{At: 4, Kind: history.Sent, Request: 2}, {At: 5, Kind: history.Answered, Request: 2}} {
 		c.Add(&r)
 	}
