A request's own size and worth say how much of its time it needs left to be sent

By size, of reads sent: 1 unit 0.02 timed out, 2 0.06, 4 0.22, 6 0.44, 8 0.70; median stays 103, 244, 425, 506, 595 ms at an aim of about 770 ms. So a fifth of what nodes worked on was thrown away, and large requests held up small ones.

Checked and ruled out: bad nodes (all alike), silent connections (the node answered others meanwhile), cold nodes (none of the time-outs), a second copy (the node is the only one that has the data).

At fault: place() let a request go while half of a mean stay was left, whatever its size (policy.go, r.endAt). Now half of what a stay of its size takes, and where it lies beyond a reserve, that over the worth that the settings tell for such work (share_worth), at most four times as much: what pays less has to be surer. Inside reserves it stays at a half, so that nodes at which all times out are still tried.

--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -184,3 +184,52 @@
 		r.after(period, Event{Kind: ListChanged, Members: []Member{{Node: "n7", Shard: 7}}})
 	}
 }
+
+// A stay goes with a request's size. One of eight units that has a mean stay left, and would need four of them, only fills its node's
+// queue: 70 in 100 of those timed out at nodes that served small ones meanwhile, and took as much work as was served of them.
+func TestLargeRequestsNeedMoreTime(t *testing.T) {
+	cfg := testConfig()
+	cfg.ShareWorth = 0.3
+	r := newRig(t, cfg, fleetOf(1)...)
+	n := r.s.nodes["n0"]
+	at := func(id uint64, units float64, plan int, stay float64) Event {
+		n.lat, n.depth, n.queued, r.s.all.depth = stay, 4, 0, 1
+		ev := r.arrive(id, 0, plan, fmt.Sprint("v", plan), "", units)
+		ev.Arrival.Shard = 0
+		return ev
+	}
+	for id, x := range []struct {
+		what  string
+		units float64
+		plan  int
+		stay  float64 // mean, of an aim of 1 s
+		sent  bool
+	}{
+		{"small, reserved, half of the stay fits", 2, 0, 1.8, true},
+		{"small, reserved, not even half of it", 2, 0, 2.1, false},
+		{"large, reserved, half of four stays fits", 8, 0, 0.45, true},
+		{"large, reserved, it does not", 8, 0, 0.55, false},
+		{"one unit, reserved, half of half a stay", 1, 0, 3.5, true},
+		{"small, beyond, surer by what it pays less", 2, 1, 0.55, true},
+		{"small, beyond, not sure enough", 2, 1, 0.65, false},
+		{"large, beyond", 8, 1, 0.14, true},
+		{"large, beyond, not sure enough", 8, 1, 0.17, false},
+		{"of a plan without a reserve nothing is beyond it", 2, 2, 1.8, true},
+	} {
+		r.s.cfg.Plans[2].Limit, r.s.cfg.Plans[2].Reserve = 0, 0
+		ev := at(uint64(id+1), x.units, x.plan, x.stay)
+		v := r.s.volume(&ev.Arrival)
+		if v.credit = 100; x.plan > 0 {
+			v.credit = -1e9
+		}
+		acts := r.step(ev)
+		if got := len(of(acts, Send)) == 1; got != x.sent {
+			t.Errorf("%s: sent %v", x.what, got)
+		}
+		if x.sent {
+			r.step(answered(uint64(id+1), "n0", Served))
+		} else if len(of(acts, Refuse)) != 1 {
+			t.Errorf("%s: no answer at once", x.what)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	depthUp     = 0.5                    // growth of D a round of D answers, while the room is wanted
 	depthDown   = 0.10                   // cut of D an answer when the stay is too long
 	latGain     = 0.12                   // weight of one answer in a node's mean latency
+	leastWorth  = 0.25                   // what pays less than this need not be surer still
 	backlogAim  = 0.60                   // part of the aim that waiting here may take before something is shed
 	lookPast    = 8                      // requests looked at behind a blocked head
 	nodeAge     = 3 * time.Second        // what is known of one node fades into what is known of all
@@ -189,12 +190,7 @@
 }
 
 // orOne is v, or 1 for what cannot be.
-func orOne(v float64) float64 {
-	if v > 0 {
-		return v
-	}
-	return 1
-}
+func orOne(v float64) float64 { return cmp.Or(max(v, 0), 1) }
 
 // Step takes in every event of the batch, then decides once. Actions are appended to act.
 func (s *Scheduler) Step(now time.Duration, events []Event, act []Action) []Action {
@@ -371,11 +367,13 @@
 		s.giveUp(r, hintShort*2)
 		return
 	}
-	// Sent later than this it is not likely to pay.
-	r.endAt = min(r.aimAt-time.Duration(n.lat/2*float64(time.Second)), r.a.Due-endMargin)
-	if r.attempts == 0 { // kept for longer without a send, it costs more than a refusal
-		r.endAt = min(r.endAt, r.halfAt)
+	// Sent later than this it is not likely to pay: a large one stays longer, what pays less has to be surer.
+	// Kept beyond halfAt without a send, it costs more than a refusal.
+	need := n.lat / 2 * r.a.Units / s.cfg.MeanUnits
+	if !r.reserved && r.vol.plan.Reserve > 0 {
+		need /= max(cmp.Or(s.cfg.ShareWorth, 1), leastWorth)
 	}
+	r.endAt = min(r.aimAt-time.Duration(need*float64(time.Second)), r.a.Due-endMargin, r.halfAt)
 	if r.endAt <= s.now || r.attempts == 0 && r.chance > s.admitted(r) {
 		s.giveUp(r, hintLong)
 		return
@@ -860,7 +858,7 @@
 	n.vStart, n.vEnd = max(n.vStart, r.start), max(n.vEnd, r.finish)
 	n.aim = min(r.class.Aim.Seconds(), n.aim+latGain*(r.class.Aim.Seconds()-n.aim))
 	n.out, n.sentAt = append(n.out, r), s.now
-	r.attempts, r.out, r.sentAt, r.node, r.long = r.attempts+1, r.out+1, s.now, n, false
+	r.attempts, r.out, r.sentAt, r.node, r.long, r.halfAt = r.attempts+1, r.out+1, s.now, n, false, r.a.Due
 	// Out until its answer would be late: where nodes drop what timed out, their queues cannot grow beyond the
 	// aim however many hosts send. Covers hung, dead and lossy nodes too; may lose late answers that still pay.
 	after := max(min(r.aimAt, r.a.Due)-s.now, tickBusy)
