A mean request's time is learnt apart from stays; six tenths of it have to be left

Seen: the mean stay at a node, by which place() judges how long a request of some size would take, is that of what was sent there of late. Where small ones go and large ones are refused it tells too little of the large ones, and in a burst of large ones too much of the small.

Changed: a mean of stay over size beside it (policy.go: history.mean, observe, age), for the time that a send has to have left. A time-out counts for at least a mean request: a small one's end tells of the queue, not of its work. A send has to have 0.6 of the expected stay left in place of 0.5: it is the most that still lets something go at nodes where all times out (these count as one and a half aims). Stays as they are still rule D.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,6 +27,7 @@
 	depthUp     = 0.5                    // growth of D a round of D answers, while the room is wanted
 	depthDown   = 0.10                   // cut of D an answer when the stay is too long
 	latGain     = 0.12                   // weight of one answer in a node's mean latency
+	sureStay    = 0.6                    // part of the expected stay for which a send has to have time left
 	leastWorth  = 0.25                   // what pays less than this need not be surer still
 	backlogAim  = 0.60                   // part of the aim that waiting here may take before something is shed
 	lookPast    = 8                      // requests looked at behind a blocked head
@@ -369,7 +370,7 @@
 	}
 	// Sent later than this it is not likely to pay: a large one stays longer, what pays less has to be surer.
 	// Kept beyond halfAt without a send, it costs more than a refusal.
-	need := n.lat / 2 * r.a.Units / s.cfg.MeanUnits
+	need := sureStay * n.mean * r.a.Units / s.cfg.MeanUnits
 	if !r.reserved && r.vol.plan.Reserve > 0 {
 		need /= max(cmp.Or(s.cfg.ShareWorth, 1), leastWorth)
 	}
@@ -634,7 +635,7 @@
 // ---- depth ----
 
 // history is what outcomes told of latency, in seconds, and the depth that follows.
-type history struct{ lat, depth float64 }
+type history struct{ lat, mean, depth float64 } // mean: that of a request of mean size
 
 // learn takes one outcome. One that timed out tells only that it would have taken longer.
 func (h *history) learn(lat float64, timedOut bool, aim float64, wanted bool) {
@@ -664,7 +665,7 @@
 	if n.depth < 1 && n.suspect {
 		part *= s.trust * s.trust
 	}
-	n.lat += part * (usual - n.lat)
+	n.lat, n.mean = n.lat+part*(usual-n.lat), n.mean+part*(s.all.mean/orOne(n.Capacity)-n.mean)
 	if d < n.depth && d < 1 || n.depth < d {
 		n.depth += part * (d - n.depth)
 	}
@@ -672,7 +673,7 @@
 
 // observe takes what an outcome tells of its node: latency, service, depth.
 func (s *Scheduler) observe(n *node, r *request, ev *Event) {
-	lat := (s.now - r.sentAt).Seconds()
+	lat, size := (s.now - r.sentAt).Seconds(), r.a.Units/s.cfg.MeanUnits
 	if n.suspect && ev.Outcome != Served && ev.Outcome != Spoilt {
 		s.trust -= trustGain * s.trust
 	}
@@ -687,8 +688,8 @@
 			break
 		}
 		if ev.Outcome == TimedOut {
-			lat *= lateStretch
-			if !n.suspect && lat > pauseAim*n.aim { // one that had little time tells little
+			lat, size = lat*lateStretch, max(size, 1) // a small one's end tells of the queue, not of its work
+			if !n.suspect && lat > pauseAim*n.aim {   // one that had little time tells little
 				n.suspect = true
 				s.log("node %s suspect: no answer in %.0f ms", n.Node, lat*1000)
 				if n.depth >= 1 && n.lat > 0 && n.lat <= aimPart*n.aim { // its next answer tells more
@@ -704,6 +705,7 @@
 		}
 		n.held = 0
 		n.history.learn(lat, ev.Outcome == TimedOut, n.aim, n.queued > 0)
+		n.mean, s.all.mean = n.mean+latGain*(lat/size-n.mean), s.all.mean+latGain*(lat/size-s.all.mean)
 		s.outcomes.add(s.now, 1) // of all nodes the middle counts, so that a few bad ones do not speak for the rest
 		s.all.lat += math.Copysign(min(s.gain(n.aim)*n.aim, math.Abs(lat-s.all.lat)), lat-s.all.lat)
 		if up := math.Copysign(1, pauseAim*n.aim-lat); !r.long && (up < 0 || ev.Outcome == Served) {
@@ -982,7 +984,7 @@
 		if n == nil {
 			n = &node{byVol: map[*volume]*flow{}, aim: s.cfg.Classes[0].Aim.Seconds()}
 			c := orOne(m.Capacity) // what its kind lets expect, until it is measured
-			n.depth, n.lat = min(maxDepth, firstDepth*c), s.all.lat/c
+			n.depth, n.lat, n.mean = min(maxDepth, firstDepth*c), s.all.lat/c, s.all.mean/c
 			s.nodes[m.Node], s.list = n, append(s.list, n)
 		} else if m.StartedAt > n.StartedAt {
 			n.depth = 1
