--- a/internal/lab/experiment/run.go
+++ b/internal/lab/experiment/run.go
@@ -34,9 +34,10 @@
 // Results is the file of an experiment: CSV with a column for each key that varies, design, seed and each measure. A line that was cut by the
 // end of an earlier run is dropped, and what is there is not played again.
 type Results struct {
-	keys []string
-	rows map[string]*Row
-	file *os.File
+	keys  []string
+	rows  map[string]*Row
+	order []*Row // as in the file
+	file  *os.File
 
 	whole int // bytes of whole lines found
 }
@@ -120,6 +121,7 @@
 			}
 		}
 		r.rows[row.key()] = row
+		r.order = append(r.order, row)
 	}
 }
 
@@ -139,7 +141,7 @@
 	for _, name := range measureNames() {
 		rec = append(rec, strconv.FormatFloat(row.Measures[name], 'g', -1, 64))
 	}
-	r.rows[row.key()] = row
+	r.rows[row.key()], r.order = row, append(r.order, row)
 	return r.write(rec)
 }
 
--- a/internal/lab/measure/measure.go
+++ b/internal/lab/measure/measure.go
@@ -18,11 +18,26 @@
 	N    int     `json:"n"`
 }
 
-func (f Figure) String() string {
+func (f Figure) String() string { return f.format("%.*f") }
+
+// Signed is String with a sign also where the mean is above 0, as a difference has it.
+func (f Figure) Signed() string { return f.format("%+.*f") }
+
+// format writes two digits of the interval, and the mean to the same place: further ones say nothing.
+func (f Figure) format(mean string) string {
+	size := f.Half
+	if !(size > 0) || math.IsInf(size, 1) {
+		size = math.Abs(f.Mean) / 100
+	}
+	digits := 0
+	if size > 0 {
+		digits = min(max(0, 1-int(math.Floor(math.Log10(size)))), 9)
+	}
+	text := fmt.Sprintf(mean, digits, f.Mean)
 	if math.IsInf(f.Half, 1) {
-		return fmt.Sprintf("%.4g", f.Mean)
+		return text
 	}
-	return fmt.Sprintf("%.4g ± %.2g", f.Mean, f.Half)
+	return text + fmt.Sprintf(" ± %.*f", digits, f.Half)
 }
 
 // MarshalJSON writes null for what is not known: JSON has no word for it.
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -32,8 +32,9 @@
 	Series     []float64      `json:"series"` // service in so many parts of the run
 	Median     float64        `json:"median"` // of the time
 	P99        float64        `json:"p99"`
-	Full       int            `json:"full"`     // turned away by a full room
-	GivenUp    int            `json:"given_up"` // by their clients
+	Quantiles  []float64      `json:"quantiles"` // of the time, at those of Quantiles
+	Full       int            `json:"full"`      // turned away by a full room
+	GivenUp    int            `json:"given_up"`  // by their clients
 	Refused    int            `json:"refused"`
 	Failed     int            `json:"failed"`
 	Late       int            `json:"late"` // served after the aim
@@ -52,6 +53,9 @@
 	Words      []rules.Broken `json:"words,omitempty"` // the first rules broken
 }
 
+// Quantiles are where a result says how long those served took.
+var Quantiles = []float64{0.01, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 0.95, 0.98, 0.99}
+
 // ledger is worth by part of the run.
 type ledger struct {
 	per   int64
@@ -298,6 +302,9 @@
 		Full: r.full, GivenUp: r.given, Refused: r.refused, Failed: r.failed, Late: r.late, Unheard: r.unheard, Attempts: r.attempts, Handshakes: r.handshakes,
 		Calls: r.discovery.calls, Fell: r.falls, MostOpen: r.mostOpen, Moot: r.moot, Events: r.e.Count(), Requests: r.seen}
 	res.Median, res.P99 = float64(r.latency.Quantile(0.5))/1e6, float64(r.latency.Quantile(0.99))/1e6
+	for _, at := range Quantiles {
+		res.Quantiles = append(res.Quantiles, float64(r.latency.Quantile(at))/1e6)
+	}
 	if due := r.due.sum(); due > 0 {
 		res.Service = r.earned.sum() / due
 	}
