Load: a scenario's clients on sockets, open-loop, and the model held against them

internal/load sends each request at its time whatever became of those before, and measures from that time. internal/standin.Timed is a node that serves in turn on some cores, as long as a request's piece says. model.Clients are the first tries that a seed's designs meet, model.Settings the platform's words for what the model tells its brokers (read back they are the same, by a test). `poppyarch load` drives running brokers over either front; `poppyarch lab live` puts an installation up on loopback, brokers as processes, and says by how much sockets and model differ, seed by seed.

Tests: both fronts before real brokers; a front that answers nobody until all have come (a closed loop would never end); answers that are another's, cut short, or closed behind; what sockets cannot play is refused by name.

--- a/cmd/poppyarch/root.go
+++ b/cmd/poppyarch/root.go
@@ -64,7 +64,7 @@
 			"2 wrong arguments, configuration or inventory;\n3 no agent or manager answers; 4 an instance that should run does not; 5 and 6: see fleet.",
 	}
 	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &exit{exitUsage, err} })
-	c.AddCommand(serveCommand(), agentCommand(), validateCommand(), fleetCommand(), incidentCommand(), inventoryCommand(), labCommand())
+	c.AddCommand(serveCommand(), agentCommand(), validateCommand(), fleetCommand(), incidentCommand(), inventoryCommand(), labCommand(), loadCommand())
 	c.AddCommand(controlCommands()...)
 	return c
 }
--- a/internal/lab/model/client.go
+++ b/internal/lab/model/client.go
@@ -258,6 +258,10 @@
 	if n := len(v.hosts); n > 1 {
 		i = r.host(v, lots)
 	}
+	if r.sink != nil {
+		r.sink(q, v.hosts[i])
+		return
+	}
 	b := r.brokers[v.hosts[i]]
 	r.lastID++
 	q.id = r.lastID
@@ -304,6 +308,60 @@
 	return (v.lead + k) % n
 }
 
+// Arrival is a client's first try.
+type Arrival struct {
+	At     int64 // microseconds from the start
+	Broker int32
+	Class  int
+	Plan   int
+	Volume string
+	Hosts  int // brokers that the volume comes through
+	Key    uint64
+	Shard  int32 // -1: a new object
+	Units  float64
+	Work   float64 // microseconds of a core at speed 1
+	Worth  float64 // of an answer in time
+	Inside bool    // its volume's reserve
+}
+
+// Clients are the first tries that the clients of a run make, the very ones that Play's designs meet with this seed. Reads of what was written
+// a moment ago are not among them: where that lies is the designs' doing, and a scenario that has them is refused.
+func Clients(s *Scenario, seed uint64) ([]Arrival, error) {
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	if s.Load.Reread > 0 {
+		return nil, fmt.Errorf("scenario %s: load.reread: %v: what clients read of what was written lies where brokers put it, and they are not told", s.Name, s.Load.Reread)
+	}
+	var all []Arrival
+	r := prepare(s, "", seed)
+	r.sink = func(q *request, broker int32) {
+		all = append(all, Arrival{At: q.first, Broker: broker, Class: int(q.class), Plan: q.vol.plan, Volume: q.vol.name, Hosts: len(q.vol.hosts), Key: q.key,
+			Shard: q.shard, Units: q.units, Work: q.work, Worth: q.worth, Inside: q.inside})
+	}
+	r.build()
+	r.makeVolumes()
+	r.troubles()
+	r.clients()
+	r.e.Run(s.Last.us())
+	return all, r.err
+}
+
+// Volumes are the names of a scenario's volumes with the number of the plan of each. They do not depend on the seed.
+func Volumes(s *Scenario) (map[string]int, error) {
+	if err := s.Check(); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
+	}
+	r := prepare(s, "", 1)
+	r.build()
+	r.makeVolumes()
+	out := map[string]int{}
+	for _, v := range r.volumes {
+		out[v.name] = v.plan
+	}
+	return out, nil
+}
+
 // heard is what a client hears. It comes again once after a refusal or a failure, if it is one that does.
 func (r *run) heard(b *broker, q *request, a history.Answer, hint time.Duration) {
 	q.over = true
--- a/internal/lab/model/run.go
+++ b/internal/lab/model/run.go
@@ -94,6 +94,7 @@
 	discovery *discovery
 	checker   *rules.Checker
 	stepping  *broker
+	sink      func(q *request, broker int32) // takes tries in the brokers' place
 	err       error
 
 	from                    int64
@@ -227,19 +228,8 @@
 	if err := CheckDesign(design); err != nil {
 		return nil, err
 	}
-	from, to := s.Warm.us(), s.Last.us()
-	r := &run{s: s, e: engine.New(seed), name: design, classes: s.classes(), byName: map[string]*Node{}, from: from, loadBy: 1,
-		asked: measure.NewBatches(from, to, batches), spent: measure.NewBatches(from, to, batches),
-		served: measure.NewBatches(from, to, batches), inside: measure.NewLevel(from, to, batches)}
-	per := max(to/SeriesParts, 1)
-	r.due, r.earned = ledger{per, make([]float64, SeriesParts)}, ledger{per, make([]float64, SeriesParts)}
-	r.who, r.again, r.lots, r.links = r.e.Stream("who"), r.e.Stream("again"), r.e.Stream("lots"), r.e.Stream("links")
-	for _, c := range r.classes {
-		r.shares += c.Share
-	}
-	r.mean = float64(s.Load.Work.us())
-	r.settings()
-	r.checker = rules.New(r.terms())
+	to := s.Last.us()
+	r := prepare(s, design, seed)
 	r.build()
 	r.makeVolumes()
 	for _, b := range r.brokers {
@@ -258,6 +248,24 @@
 	return r.result(design, seed, to), nil
 }
 
+// prepare is a run before its first event.
+func prepare(s *Scenario, design string, seed uint64) *run {
+	from, to := s.Warm.us(), s.Last.us()
+	r := &run{s: s, e: engine.New(seed), name: design, classes: s.classes(), byName: map[string]*Node{}, from: from, loadBy: 1,
+		asked: measure.NewBatches(from, to, batches), spent: measure.NewBatches(from, to, batches),
+		served: measure.NewBatches(from, to, batches), inside: measure.NewLevel(from, to, batches)}
+	per := max(to/SeriesParts, 1)
+	r.due, r.earned = ledger{per, make([]float64, SeriesParts)}, ledger{per, make([]float64, SeriesParts)}
+	r.who, r.again, r.lots, r.links = r.e.Stream("who"), r.e.Stream("again"), r.e.Stream("lots"), r.e.Stream("links")
+	for _, c := range r.classes {
+		r.shares += c.Share
+	}
+	r.mean = float64(s.Load.Work.us())
+	r.settings()
+	r.checker = rules.New(r.terms())
+	return r
+}
+
 // patience is the longest of all classes; 0: for ever.
 func (r *run) patience() (most int64) {
 	if len(r.s.Classes) == 0 && r.s.Load.Patience == 0 {
--- /dev/null
+++ b/internal/lab/model/settings.go
@@ -0,0 +1,44 @@
+package model
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// Ways are the scenario's classes, or the one of all its requests where it names none.
+func (s *Scenario) Ways() []Class { return s.classes() }
+
+// UnitWork is what one unit of a request's size is, microseconds of a core at speed 1.
+func (s *Scenario) UnitWork() float64 { return float64(s.Load.Work.us()) / meanUnits }
+
+// Settings are what the platform would tell a broker of this scenario, in the platform's words. Read back they are what the model's brokers are
+// told.
+func (s *Scenario) Settings() (json.RawMessage, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	r := prepare(s, "", 1)
+	r.build()
+	r.makeVolumes()
+	c := &r.config
+	type m = map[string]any
+	ns := func(d time.Duration) int64 { return d.Nanoseconds() }
+	var classes, plans []m
+	for _, k := range s.classes() {
+		repeat := "fragile"
+		if k.Repeat == "always" {
+			repeat = "retryable"
+		}
+		classes = append(classes, m{"name": k.Name, "aim_ns": ns(time.Duration(k.Aim)), "give_up_ns": ns(time.Duration(k.Patience)), "importance": k.Worth, "repeat": repeat})
+	}
+	for _, p := range c.Plans {
+		plans = append(plans, m{"name": p.Name, "shares": p.Weight, "value_factor": p.Price, "usual_rate": p.Rate, "floor_rate": p.Reserve, "never_over": p.Limit,
+			"burst": p.LimitBurst, "tolerance": p.Slack})
+	}
+	return json.Marshal(m{"balancers": c.Hosts, "discovery": "ask", "zones": []string{"room"}, "classes": classes, "policies": plans,
+		"contract": m{"ask_within_ns": ns(c.AskWithin), "cold_from": c.ColdFrom, "tip_after_ns": ns(c.TipWindow), "warm_after_ns": ns(c.Warm)},
+		"limits": m{"send_cap": c.MaxAttempts, "connect_timeout_ns": ns(250 * time.Millisecond), "keepalive_ns": ns(30 * time.Second), "retry_after": c.Hints,
+			"max_retry_after_ns": ns(c.MaxHint)},
+		"deductions": m{"handshake": c.Handshake},
+		"specifics":  m{"mean_units": c.MeanUnits, "max_units": c.MaxUnits, "n_shards": s.Count(), "cold_bears": c.ColdUnits, "fair_worth": c.ShareWorth}})
+}
--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -11,6 +11,9 @@
 func (r *run) troubles() {
 	for k := range r.s.Trouble {
 		p := &r.s.Trouble[k]
+		if r.sink != nil && p.Kind != "hot" && p.Kind != "reconnect" && p.Kind != "load" {
+			continue // nothing of it reaches clients
+		}
 		lot := r.e.Stream(fmt.Sprint("trouble ", k))
 		switch p.Kind {
 		case "broker":
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,229 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"poppyarch/internal/config"
+	"poppyarch/internal/lab/experiment"
+	"poppyarch/internal/lab/model"
+	"poppyarch/internal/serve"
+)
+
+const patience = 60 * time.Second
+
+// small is the example's scenario, so short and light that no machine is too slow for it, with times that no verdict hangs on.
+func small(t *testing.T) *model.Scenario {
+	t.Helper()
+	s, err := experiment.ReadScenario("../../examples/lab/live.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Brokers, s.Last, s.Warm, s.Load.Rate, s.Load.Work, s.Load.Retry = 2, model.Span(time.Second), 0, 60, model.Span(time.Millisecond), 0
+	for i := range s.Classes {
+		s.Classes[i].Aim, s.Classes[i].Patience = model.Span(patience/2), model.Span(patience)
+	}
+	s.Trouble = nil
+	return s
+}
+
+// inProcess starts brokers in this process.
+func inProcess(t *testing.T) Start {
+	return func(name, path string) (func() error, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		cfg, err := config.Parse(text, func(string) string { return "" })
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() {
+			done <- serve.Run(ctx, cfg, func(_ context.Context, a string) (net.Listener, error) { return net.Listen("tcp", a) }, nil,
+				slog.New(slog.NewTextHandler(io.Discard, nil)))
+		}()
+		return func() error {
+			cancel()
+			return <-done
+		}, nil
+	}
+}
+
+// A scenario's clients come to brokers of either front, the very ones that the model's designs meet; each has one answer, which is its own.
+func TestClientsOfTheModelBeforeRealBrokers(t *testing.T) {
+	for _, objects := range []bool{false, true} {
+		s := small(t)
+		s.Trouble = []model.Trouble{{Kind: "pause", Share: 1, Every: model.Span(time.Second), Last: model.Span(time.Millisecond)}}
+		in, err := Install(s, t.TempDir(), objects, inProcess(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		rep, err := in.Play(t.Context(), 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := in.Close(); err != nil {
+			t.Error(err)
+		}
+		want, err := model.Play(s, "module", 3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rep.Requests != want.Requests || rep.Requests < 30 {
+			t.Errorf("objects %v: %d requests, in the model %d", objects, rep.Requests, want.Requests)
+		}
+		if rep.Wrong != 0 || rep.Cut != 0 || rep.GivenUp != 0 {
+			t.Errorf("objects %v: %d wrong answers, %d connections cut, %d given up", objects, rep.Wrong, rep.Cut, rep.GivenUp)
+		}
+		if rep.Attempts < rep.Requests-rep.Refused-rep.Failed || rep.Service <= 0 || rep.Service > 1 || rep.P99 < rep.Median {
+			t.Errorf("objects %v: %+v", objects, rep.Result)
+		}
+	}
+}
+
+// front is a stub before which clients stand: answer gets each request's words.
+func front(t *testing.T, answer func(c net.Conn, words []string) (goOn bool)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					words, err := command(in)
+					if err != nil || !answer(c, words) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func command(in *bufio.Reader) (words []string, err error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	n, err := strconv.Atoi(strings.TrimSpace(line[1:]))
+	for range n {
+		if _, err := in.ReadString('\n'); err != nil {
+			return nil, err
+		}
+		w, err := in.ReadString('\n')
+		if err != nil {
+			return nil, err
+		}
+		words = append(words, strings.TrimSpace(w))
+	}
+	return words, err
+}
+
+func value(c net.Conn, v string) { fmt.Fprintf(c, "$%d\r\n%s\r\n", len(v), v) }
+
+// A broker that stands still is no reason for clients to come later: all come at their times, and what they waited shows. A client that sends
+// its next request only after the last answer would never let this front go on.
+func TestNobodyWaitsForThoseBefore(t *testing.T) {
+	s := small(t)
+	s.Brokers = 1
+	all, err := model.Clients(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var came atomic.Int64
+	released := make(chan struct{})
+	var once sync.Once
+	at := front(t, func(c net.Conn, words []string) bool {
+		if came.Add(1) == int64(len(all)) {
+			once.Do(func() { close(released) })
+		}
+		select {
+		case <-released:
+		case <-time.After(patience):
+		}
+		value(c, words[2])
+		return true
+	})
+	rep, err := (&Run{Scenario: s, Seed: 1, Blocks: []string{at}}).Play(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, last := all[0].At, all[len(all)-1].At
+	if least := float64(last-first) / 1e6; rep.Quantiles[len(rep.Quantiles)-1] < least {
+		t.Errorf("the longest wait is told as %.3f s, the first client's was over %.3f s", rep.Quantiles[len(rep.Quantiles)-1], least)
+	}
+	if rep.GivenUp > 0 || rep.Wrong > 0 {
+		t.Errorf("%d given up, %d wrong", rep.GivenUp, rep.Wrong)
+	}
+}
+
+// Answers are taken for what they are; a connection that ends between two requests is no answer, and what crossed that is sent once more.
+func TestAnswersAreTakenForWhatTheyAre(t *testing.T) {
+	for name, x := range map[string]struct {
+		answer func(c net.Conn, words []string) bool
+		of     func(r *Report) int
+	}{
+		"refused":       {func(c net.Conn, _ []string) bool { io.WriteString(c, "-BUSY 5\r\n"); return true }, func(r *Report) int { return r.Refused }},
+		"failed":        {func(c net.Conn, _ []string) bool { io.WriteString(c, "-ERR failed\r\n"); return true }, func(r *Report) int { return r.Failed }},
+		"another's":     {func(c net.Conn, w []string) bool { value(c, w[2]+"0"); return true }, func(r *Report) int { return r.Wrong }},
+		"cut short":     {func(c net.Conn, w []string) bool { io.WriteString(c, "$9\r\n12"); return false }, func(r *Report) int { return r.Cut }},
+		"served, ended": {func(c net.Conn, w []string) bool { value(c, w[2]); return false }, func(r *Report) int { return r.Requests - r.Cut - r.Wrong - r.Refused }},
+	} {
+		s := small(t)
+		s.Brokers = 1
+		rep, err := (&Run{Scenario: s, Seed: 2, Blocks: []string{front(t, x.answer)}}).Play(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := x.of(rep); got != rep.Requests || got == 0 {
+			t.Errorf("%s: %d of %d requests: %+v, cut %d, wrong %d", name, got, rep.Requests, rep.Result, rep.Cut, rep.Wrong)
+		}
+	}
+}
+
+// What sockets cannot play is refused by name.
+func TestWhatSocketsCannotPlay(t *testing.T) {
+	for want, edit := range map[string]func(s *model.Scenario){
+		"trouble[0].kind: vanish": func(s *model.Scenario) {
+			s.Trouble = []model.Trouble{{Kind: "vanish", Share: 1, At: 1e9, Last: 1e9}}
+		},
+		"nodes": func(s *model.Scenario) { s.Nodes = nil },
+	} {
+		s := small(t)
+		edit(s)
+		if _, err := Install(s, t.TempDir(), false, inProcess(t)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	s := small(t)
+	if _, err := (&Run{Scenario: s, Blocks: []string{"127.0.0.1:1"}}).Play(t.Context()); err == nil || !strings.Contains(err.Error(), "brokers: 2, but 1") {
+		t.Errorf("too few addresses: %v", err)
+	}
+	s.Load.Reread = 0.3
+	if _, err := model.Clients(s, 1); err == nil || !strings.Contains(err.Error(), "load.reread") {
+		t.Errorf("reads of what was written: %v", err)
+	}
+}
