--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -24,7 +24,7 @@
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Try designs on a model of clients, brokers and nodes", Args: usage(cobra.NoArgs),
 		RunE: func(cmd *cobra.Command, _ []string) error { return cmd.Help() }}
-	c.AddCommand(labRun(), labCompare(), labSweep(), labBisect(), labHunt(), labLive(),
+	c.AddCommand(labRun(), labCompare(), labSweep(), labBisect(), labHunt(), labLive(), labFit(),
 		labDraw("plot", "Draw a measure of a sweep with its intervals"), labDraw("report", "Make one HTML page of results and of scenarios"))
 	return c
 }
--- /dev/null
+++ b/cmd/poppyarch/lab_fit.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/spf13/cobra"
+
+	"poppyarch/internal/lab/fit"
+)
+
+// labFit makes a scenario of brokers' records.
+func labFit() *cobra.Command {
+	var out string
+	c := &cobra.Command{Use: "fit RECORDS... -o SCENARIO", Args: usage(cobra.MinimumNArgs(1)),
+		Short: "Make a scenario of what brokers have recorded, and say what records do not tell",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			t, err := fit.Read(args...)
+			if err != nil {
+				return &exit{exitUsage, err}
+			}
+			for _, f := range t.Faults {
+				fmt.Fprintln(cmd.ErrOrStderr(), f)
+			}
+			s, w, notes, err := t.Scenario(strings.TrimSuffix(filepath.Base(out), filepath.Ext(out)))
+			if err != nil {
+				return err
+			}
+			text, err := toml.Marshal(s)
+			if err != nil {
+				return err
+			}
+			head := fmt.Sprintf("# Fitted to %d requests of %d brokers. Work: %s, from %d of %d attempts that were alone at their nodes; it differs from them by %.3f at most.\n# Not recorded:\n",
+				len(t.Asked), s.Brokers, w.Spread, w.N, w.Of, w.Distance)
+			for _, n := range notes {
+				head += "# " + n + "\n"
+			}
+			if err := os.WriteFile(out, append([]byte(head), text...), 0o644); err != nil {
+				return err
+			}
+			fmt.Fprint(cmd.OutOrStdout(), strings.ReplaceAll(head, "# ", ""))
+			return nil
+		}}
+	c.Flags().StringVarP(&out, "out", "o", "", "the scenario")
+	if err := c.MarkFlagRequired("out"); err != nil {
+		panic(err) // the flag is declared on the line above
+	}
+	return c
+}
