--- a/cmd/poppyarch/load.go
+++ b/cmd/poppyarch/load.go
@@ -85,6 +85,7 @@
 	var runs int
 	var seed uint64
 	var objects, asJSON bool
+	var records string
 	c := &cobra.Command{Use: "live SCENARIO", Args: usage(cobra.ExactArgs(1)),
 		Short: "Play a scenario in the model and with brokers on loopback sockets, the same clients in both, and say by how much they differ",
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -102,7 +103,7 @@
 			defer os.RemoveAll(dir)
 			ctx, stop := signal.NotifyContext(cmd.Context(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
-			in, err := driver.Install(s, dir, objects, broker)
+			in, err := driver.Install(s, driver.Options{Dir: dir, Objects: objects, Records: records}, broker)
 			if err != nil {
 				return err
 			}
@@ -143,6 +144,7 @@
 		}}
 	c.Flags().IntVar(&runs, "runs", 3, "seeds")
 	c.Flags().Uint64Var(&seed, "seed", 1, "the first")
+	c.Flags().StringVar(&records, "records", "", "folder that the brokers record to, for lab fit and incident")
 	c.Flags().BoolVar(&objects, "objects", false, "clients speak HTTP")
 	c.Flags().BoolVar(&asJSON, "json", false, "results as JSON, one a run: the model's first")
 	return c
--- a/internal/load/install.go
+++ b/internal/load/install.go
@@ -31,9 +31,15 @@
 // Start starts a broker with a configuration file and returns how to end it.
 type Start func(name, config string) (stop func() error, err error)
 
-// Install puts a scenario up. dir takes the brokers' configurations; objects has them speak HTTP in place of the platform's protocol. Of
-// the scenario's troubles pauses are played, and those of clients; others need a network that loses, and are refused by name.
-func Install(s *model.Scenario, dir string, objects bool, start Start) (in *Installation, err error) {
+// Options say how a scenario is put up.
+type Options struct {
+	Dir     string // takes the brokers' configurations
+	Objects bool   // brokers speak HTTP in place of the platform's protocol
+	Records string // folder that brokers record to; "": they do not
+}
+
+// Install puts a scenario up. Of the scenario's troubles pauses are played, and those of clients; others need a network that loses, and are refused by name.
+func Install(s *model.Scenario, o Options, start Start) (in *Installation, err error) {
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", s.Name, err)
 	}
@@ -60,9 +66,9 @@
 				return in, err
 			}
 			t := discovery.Target{UID: fmt.Sprintf("s-%04d", len(in.nodes)), Endpoint: block, AZ: "room", PodGroup: len(in.nodes), State: "up", CapacityHint: 1}
-			if objects {
-				o := standin.NewObjects()
-				o.SetHook(func(w http.ResponseWriter, r *http.Request, next func()) {
+			if o.Objects {
+				objects := standin.NewObjects()
+				objects.SetHook(func(w http.ResponseWriter, r *http.Request, next func()) {
 					done, ok := n.Take(Work(r.URL.Path))
 					if !ok {
 						w.WriteHeader(http.StatusServiceUnavailable)
@@ -71,7 +77,7 @@
 					done()
 					next()
 				})
-				if t.ObjectEndpoint, err = in.serve((&http.Server{Handler: o}).Serve); err != nil {
+				if t.ObjectEndpoint, err = in.serve((&http.Server{Handler: objects}).Serve); err != nil {
 					return in, err
 				}
 			}
@@ -83,7 +89,7 @@
 	if err != nil {
 		return in, err
 	}
-	return in, in.brokers(dir, at, disc.List(-1), objects, start)
+	return in, in.brokers(o, at, disc.List(-1), start)
 }
 
 // serve has a stand-in listen on a port that the system chooses.
@@ -97,7 +103,7 @@
 	return ln.Addr().String(), nil
 }
 
-func (in *Installation) brokers(dir, disc string, known discovery.List, objects bool, start Start) error {
+func (in *Installation) brokers(o Options, disc string, known discovery.List, start Start) error {
 	settings, err := in.Scenario.Settings()
 	if err != nil {
 		return err
@@ -111,12 +117,15 @@
 		name := fmt.Sprint("b", i+1)
 		doc := m{"name": name, "discovery": disc, "known": known, "settings": settings, "limits": m{"cores": 1, "memory_mb": 192, "sockets": 1024},
 			"tuning": m{"drain_serve": 1000, "drain_accept": 1000}}
-		if objects {
-			o, err := in.objects(at)
+		if o.Records != "" {
+			doc["record"] = m{"dir": filepath.Join(o.Records, name)}
+		}
+		if o.Objects {
+			object, err := in.objects(at)
 			if err != nil {
 				return err
 			}
-			doc["object"] = o
+			doc["object"] = object
 			in.Objects = append(in.Objects, at)
 		} else {
 			doc["listen"] = at
@@ -126,7 +135,7 @@
 		if err != nil {
 			return err
 		}
-		path := filepath.Join(dir, name+".json")
+		path := filepath.Join(o.Dir, name+".json")
 		if err := os.WriteFile(path, text, 0o600); err != nil {
 			return err
 		}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -17,6 +17,7 @@
 
 	"poppyarch/internal/config"
 	"poppyarch/internal/lab/experiment"
+	"poppyarch/internal/lab/fit"
 	"poppyarch/internal/lab/model"
 	"poppyarch/internal/serve"
 )
@@ -67,7 +68,8 @@
 	for _, objects := range []bool{false, true} {
 		s := small(t)
 		s.Trouble = []model.Trouble{{Kind: "pause", Share: 1, Every: model.Span(time.Second), Last: model.Span(time.Millisecond)}}
-		in, err := Install(s, t.TempDir(), objects, inProcess(t))
+		records := t.TempDir()
+		in, err := Install(s, Options{Dir: t.TempDir(), Objects: objects, Records: records}, inProcess(t))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -78,6 +80,13 @@
 		if err := in.Close(); err != nil {
 			t.Error(err)
 		}
+		trace, err := fit.Read(records)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := len(trace.Asked); n < rep.Requests || !objects && n != rep.Requests || len(trace.Brokers) != 2 || trace.Faults != nil {
+			t.Errorf("objects %v: %d requests recorded of %d, brokers %v, %q", objects, n, rep.Requests, trace.Brokers, trace.Faults)
+		}
 		want, err := model.Play(s, "module", 3)
 		if err != nil {
 			t.Fatal(err)
@@ -214,7 +223,7 @@
 	} {
 		s := small(t)
 		edit(s)
-		if _, err := Install(s, t.TempDir(), false, inProcess(t)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := Install(s, Options{Dir: t.TempDir()}, inProcess(t)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: %v", want, err)
 		}
 	}
