Lab: the broker's membership in the model, and nodes that leave the list and come back

Design `members` is the module behind internal/membership as it stands where node lists or a control endpoint are set up: discovery's word is merged, who comes back too often stays out, its own timer lets it in again. Trouble `flap`: a process ends, the list says so, and it is back under its name, cold.

--- a/internal/lab/model/design.go
+++ b/internal/lab/model/design.go
@@ -18,9 +18,9 @@
 	Step(now time.Duration, events []policy.Event, act []policy.Action) []policy.Action
 }
 
-// Designs are the names of the plain ones, of the module, and of one that sees the true state.
+// Designs are the names of the plain ones, of the module alone and behind the membership, and of one that sees the true state.
 func Designs() []string {
-	return []string{"asfq", "bucket", "least", "module", "oracle", "random", "round", "two"}
+	return []string{"asfq", "bucket", "least", "members", "module", "oracle", "random", "round", "two"}
 }
 
 // parse takes a name apart: "asfq:4" is asfq with a depth of 4.
@@ -52,13 +52,17 @@
 		return nil, err
 	}
 	seed := b.rng.Uint64()
-	if base == "module" {
+	if base == "module" || base == "members" {
 		cfg := r.config
 		cfg.Seed = seed
 		if r.s.Zones > 1 {
 			cfg.Home = int(b.zone) + 1
 		}
-		return policy.New(cfg)
+		d, err := policy.New(cfg)
+		if err != nil || base == "module" {
+			return d, err
+		}
+		return newMembers(d, r.now(), cfg.Warm), nil
 	}
 	p := &plain{cfg: &r.config, rng: rand.New(rand.NewPCG(seed, 3)), at: -1, nodes: map[string]*seen{}, byShard: map[int][]*seen{}, open: map[uint64]*held{}}
 	switch base {
--- /dev/null
+++ b/internal/lab/model/members_test.go
@@ -0,0 +1,101 @@
+package model
+
+import (
+	"testing"
+	"time"
+
+	"poppyarch/policy"
+)
+
+// teller records what the membership passes on.
+type teller struct{ got []policy.Event }
+
+func (t *teller) Step(_ time.Duration, events []policy.Event, act []policy.Action) []policy.Action {
+	for _, ev := range events {
+		ev.Members = append([]policy.Member(nil), ev.Members...)
+		t.got = append(t.got, ev)
+	}
+	return act
+}
+
+func (t *teller) last() *policy.Event { return &t.got[len(t.got)-1] }
+
+// A node that leaves and comes back again and again stays out, and is let back in by the membership's own timer; its going is never held back.
+func TestMembersKeepsOutWhoComesBackTooOften(t *testing.T) {
+	in := &teller{}
+	now := time.Minute
+	m := newMembers(in, now, 0)
+	up, gone := policy.Member{Node: "a", Shard: 3}, policy.Member{Node: "a", Shard: 3, State: policy.Gone}
+	due := time.Duration(0) // of the membership's timer
+	do := func(ev policy.Event) {
+		for _, a := range m.Step(now, []policy.Event{ev}, nil) {
+			if a.Kind == policy.Timer && a.Token == memberToken {
+				due = now + a.After
+			}
+		}
+	}
+	step := func(k policy.EventKind, x policy.Member) {
+		now += time.Second
+		do(policy.Event{Kind: k, Members: []policy.Member{x}})
+	}
+	step(policy.ListFull, up)
+	if e := in.last(); e.Kind != policy.ListFull || len(e.Members) != 1 || e.Members[0].Shard != 3 {
+		t.Fatalf("the first list: %+v", e)
+	}
+	returns := 0
+	for range 6 {
+		step(policy.ListChanged, gone)
+		if e := in.last(); len(e.Members) == 1 && e.Members[0].State != policy.Gone {
+			t.Fatalf("its going: %+v", e)
+		}
+		step(policy.ListChanged, up)
+		if len(in.last().Members) == 0 {
+			break
+		}
+		returns++
+	}
+	if returns < 2 || returns > 4 || len(in.last().Members) != 0 {
+		t.Fatalf("%d returns were passed on", returns)
+	}
+	out := now
+	for range 1000 {
+		if len(in.last().Members) > 0 {
+			break
+		}
+		if due == 0 {
+			t.Fatal("nothing is due that would let it back in")
+		}
+		now, due = max(now, due), 0
+		do(policy.Event{Kind: policy.TimerFired, Token: memberToken})
+	}
+	if now < out+10*time.Second || now > out+5*time.Minute {
+		t.Errorf("it stayed out for %v", now-out)
+	}
+	if e := in.last(); e.Kind != policy.ListChanged || len(e.Members) != 1 || e.Members[0].State != policy.Ready {
+		t.Errorf("after its time: %+v", e)
+	}
+}
+
+// Without trouble the membership changes nothing; with a flapping node the rules hold, drains and cold starts among them.
+func TestMembersInTheModel(t *testing.T) {
+	s := &Scenario{Name: "flap", Brokers: 4, Last: Span(20e9), Warm: Span(time.Second), Nodes: []Kind{{Count: 6, Cores: 2, Speed: 1, Room: 20}},
+		Cold: Cold{Share: 0.2, Warm: Span(15e9), Multiple: 3, Window: Span(time.Second)}, Link: Link{Delay: Span(time.Millisecond), Keep: Span(5e9)},
+		Load:  Load{Rate: 60, Work: Span(30e6), Spread: "exponential", Patience: Span(2e9)},
+		Rules: Rules{Attempts: 3, Grace: Span(500e6), Slack: Span(50e6), Ask: Span(10e9)}}
+	play := func(design string) *Result {
+		r, err := Play(s, design, 4)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	if a, b := play("module"), play("members"); a.Service != b.Service || a.Attempts != b.Attempts {
+		t.Errorf("without trouble: %v and %v, %d and %d attempts", a.Service, b.Service, a.Attempts, b.Attempts)
+	}
+	s.Trouble = []Trouble{{Kind: "flap", Share: 0.3, Every: Span(3e9), Last: Span(400e6)}}
+	for _, d := range []string{"module", "members"} {
+		if r := play(d); len(r.Broken) > 0 || r.Service < 0.3 {
+			t.Errorf("%s: service %v, broken %v", d, r.Service, r.BrokenRules())
+		}
+	}
+}
--- a/internal/lab/model/scenario.go
+++ b/internal/lab/model/scenario.go
@@ -153,7 +153,7 @@
 }
 
 // troubles are the kinds, and whether each has a factor.
-var troubles = map[string]bool{"pause": false, "silence": false, "hang": false, "slow": true, "vanish": false, "crash": false, "replace": false, "zone": false,
+var troubles = map[string]bool{"pause": false, "silence": false, "hang": false, "slow": true, "vanish": false, "crash": false, "flap": false, "replace": false, "zone": false,
 	"broker": false, "hot": true, "load": true, "reconnect": false, "discovery": false, "late": true, "lossy": true, "error": true}
 
 // Kinds names the troubles.
--- a/internal/lab/model/trouble.go
+++ b/internal/lab/model/trouble.go
@@ -139,11 +139,28 @@
 				r.restart(n)
 			}
 		})
+	case "flap":
+		r.flap(n, last)
 	case "replace":
 		r.replace(n, last)
 	}
 }
 
+// flap: a process ends, discovery says that it is gone, and it comes back under its name, cold. Where that happens again and again, each return
+// costs its requests what a cold start costs.
+func (r *run) flap(n *Node, last int64) {
+	if n.down || n.away || n.state != history.Up {
+		return
+	}
+	n.state, n.down = history.Gone, true
+	r.crash(n)
+	r.discovery.changed(n)
+	r.e.After(last, func() {
+		n.state = history.Up
+		r.restart(n)
+	})
+}
+
 // vanish: a machine says nothing and comes back cold.
 func (r *run) vanish(n *Node, last int64) {
 	if n.down || n.away || n.state != history.Up {
