--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"runtime/metrics"
 	"reflect"
 	"strings"
 	"testing"
@@ -133,6 +134,43 @@
 	}
 }
 
+// BenchmarkMemory shows what a run holds at most: it should follow nodes and brokers and what is open, not what has passed.
+func BenchmarkMemory(b *testing.B) {
+	for _, size := range []struct{ nodes, brokers, seconds int }{{100, 10, 4}, {100, 10, 16}, {1000, 100, 4}, {1000, 1000, 4}, {10_000, 1000, 2}} {
+		b.Run(fmt.Sprintf("nodes=%d/brokers=%d/seconds=%d", size.nodes, size.brokers, size.seconds), func(b *testing.B) {
+			s := &Scenario{Brokers: size.brokers, Last: Span(time.Duration(size.seconds) * time.Second), Nodes: []Kind{{Count: size.nodes, Cores: 2, Speed: 1}},
+				Load: Load{Rate: 28 * float64(size.nodes), Work: Span(50 * time.Millisecond), Spread: "exponential"}}
+			most := uint64(0)
+			events := uint64(0)
+			for range b.N {
+				stop, done := make(chan struct{}), make(chan struct{})
+				go func() {
+					defer close(done)
+					sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+					for {
+						metrics.Read(sample)
+						most = max(most, sample[0].Value.Uint64())
+						select {
+						case <-stop:
+							return
+						case <-time.After(5 * time.Millisecond):
+						}
+					}
+				}()
+				r, err := Play(s, "two", 1)
+				close(stop)
+				<-done
+				if err != nil {
+					b.Fatal(err)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(most)/(1<<20), "MB-most")
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
+
 // fleet is a small one with everything that the model has, and one trouble.
 func fleet(trouble ...Trouble) *Scenario {
 	ms := func(n int) Span { return Span(time.Duration(n) * time.Millisecond) }
