--- a/cmd/poppyarch/lab.go
+++ b/cmd/poppyarch/lab.go
@@ -64,7 +64,7 @@
 					func(r *model.Result) float64 { return 1000 * r.Time.Mean }, p99, func(r *model.Result) float64 { return float64(r.Refused) },
 					func(r *model.Result) float64 { return float64(r.Failed) }, func(r *model.Result) float64 { return float64(r.Late) },
 					func(r *model.Result) float64 { return float64(r.Handshakes) }, func(r *model.Result) float64 { return float64(r.Fell) }} {
-					fmt.Fprintf(w, "\t%v", over(rs, of))
+					fmt.Fprintf(w, "\t%v", experiment.Over(rs, of))
 				}
 				broken := ""
 				for _, r := range rs {
@@ -95,7 +95,7 @@
 			fmt.Fprintf(out, "%s less %s, %d seeds:\n", args[1], args[2], f.runs)
 			for _, name := range []string{"service", "reserved", "served", "p99_ms", "refused", "failed", "connections", "fell", "broken"} {
 				of := experiment.Measures[name]
-				d, err := measure.Paired(values(all[0], of), values(all[1], of))
+				d, err := measure.Paired(experiment.Values(all[0], of), experiment.Values(all[1], of))
 				if err != nil {
 					return err
 				}
@@ -237,18 +237,6 @@
 func served(r *model.Result) float64 { return r.Served.Mean }
 func p99(r *model.Result) float64    { return 1000 * r.P99 }
 
-func values(rs []*model.Result, of func(*model.Result) float64) []float64 {
-	out := make([]float64, len(rs))
-	for i, r := range rs {
-		out[i] = of(r)
-	}
-	return out
-}
-
-func over(rs []*model.Result, of func(*model.Result) float64) measure.Figure {
-	return measure.Of(values(rs, of))
-}
-
 // play reads a scenario and runs all designs on all seeds, side by side; a run itself is one loop.
 func (f *labFlags) play(path string, designs []string) (*model.Scenario, [][]*model.Result, error) {
 	s, err := experiment.ReadScenario(path)
--- a/cmd/poppyarch/load.go
+++ b/cmd/poppyarch/load.go
@@ -129,7 +129,7 @@
 			w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 			fmt.Fprintln(w, "\tMODEL\tSOCKETS\tDIFFERENCE")
 			for _, l := range lines {
-				d, err := measure.Paired(values(sockets, l.of), values(plays, l.of))
+				d, err := measure.Paired(experiment.Values(sockets, l.of), experiment.Values(plays, l.of))
 				if err != nil {
 					return err
 				}
@@ -137,7 +137,7 @@
 				if d.Holds(0) && runs > 1 {
 					verdict = ", none shown"
 				}
-				fmt.Fprintf(w, "%s\t%v\t%v\t%s%s\n", l.name, over(plays, l.of), over(sockets, l.of), d.Signed(), verdict)
+				fmt.Fprintf(w, "%s\t%v\t%v\t%s%s\n", l.name, experiment.Over(plays, l.of), experiment.Over(sockets, l.of), d.Signed(), verdict)
 			}
 			own(w, reps)
 			return w.Flush()
--- a/internal/lab/experiment/plan.go
+++ b/internal/lab/experiment/plan.go
@@ -13,6 +13,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"poppyarch/internal/lab/measure"
 	"poppyarch/internal/lab/model"
 	"poppyarch/internal/tomlat"
 )
@@ -67,6 +68,20 @@
 	},
 }
 
+// Values are a measure of several runs.
+func Values(rs []*model.Result, of func(*model.Result) float64) []float64 {
+	out := make([]float64, len(rs))
+	for i, r := range rs {
+		out[i] = of(r)
+	}
+	return out
+}
+
+// Over is a measure over several runs, with its interval.
+func Over(rs []*model.Result, of func(*model.Result) float64) measure.Figure {
+	return measure.Of(Values(rs, of))
+}
+
 // measureNames are the columns of results, in order.
 func measureNames() []string {
 	names := make([]string, 0, len(Measures))
--- a/internal/lab/model/model_test.go
+++ b/internal/lab/model/model_test.go
@@ -3,8 +3,8 @@
 import (
 	"fmt"
 	"math"
-	"runtime/metrics"
 	"reflect"
+	"runtime/metrics"
 	"strings"
 	"testing"
 	"time"
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -306,10 +306,10 @@
 	for _, rs := range all {
 		line, q := chart.Series{Name: rs[0].Design}, chart.Series{Name: rs[0].Design}
 		for k := range model.SeriesParts {
-			line.Points = append(line.Points, chart.Point{X: (float64(k) + 0.5) * part, Y: over(rs, func(r *model.Result) float64 { return r.Series[k] })})
+			line.Points = append(line.Points, chart.Point{X: (float64(k) + 0.5) * part, Y: experiment.Over(rs, func(r *model.Result) float64 { return r.Series[k] })})
 		}
 		for k, at := range model.Quantiles {
-			q.Points = append(q.Points, chart.Point{X: at, Y: over(rs, func(r *model.Result) float64 { return 1000 * r.Quantiles[k] })})
+			q.Points = append(q.Points, chart.Point{X: at, Y: experiment.Over(rs, func(r *model.Result) float64 { return 1000 * r.Quantiles[k] })})
 		}
 		course.Series, times.Series = append(course.Series, line), append(times.Series, q)
 	}
@@ -327,9 +327,9 @@
 	for _, name := range []string{"service", "reserved", "served", "time_ms", "p99_ms", "refused", "failed", "late", "attempts", "connections", "calls", "fell", "cold_peak", "broken"} {
 		row := []Cell{{Text: Label(name)}}
 		for i, rs := range all {
-			c := Cell{Text: over(rs, experiment.Measures[name]).String()}
+			c := Cell{Text: experiment.Over(rs, experiment.Measures[name]).String()}
 			if i > 0 {
-				less, err := measure.Paired(values(rs, experiment.Measures[name]), values(all[0], experiment.Measures[name]))
+				less, err := measure.Paired(experiment.Values(rs, experiment.Measures[name]), experiment.Values(all[0], experiment.Measures[name]))
 				if err != nil {
 					return nil, err
 				}
@@ -365,15 +365,3 @@
 	}
 	return out
 }
-
-func values(rs []*model.Result, of func(*model.Result) float64) []float64 {
-	out := make([]float64, len(rs))
-	for i, r := range rs {
-		out[i] = of(r)
-	}
-	return out
-}
-
-func over(rs []*model.Result, of func(*model.Result) float64) measure.Figure {
-	return measure.Of(values(rs, of))
-}
--- a/internal/load/install.go
+++ b/internal/load/install.go
@@ -15,6 +15,7 @@
 
 	"poppyarch/internal/discovery"
 	"poppyarch/internal/lab/model"
+	"poppyarch/internal/stack"
 	"poppyarch/internal/standin"
 )
 
@@ -108,7 +109,7 @@
 	if err != nil {
 		return err
 	}
-	ports, err := free(in.Scenario.Brokers)
+	ports, err := stack.Ports(in.Scenario.Brokers)
 	if err != nil {
 		return err
 	}
@@ -178,19 +179,6 @@
 		"buckets": buckets, "unit_bytes": UnitBytes}, nil
 }
 
-// free finds addresses for the brokers.
-func free(n int) (out []string, err error) {
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer ln.Close()
-		out = append(out, ln.Addr().String())
-	}
-	return out, nil
-}
-
 // up waits until a broker listens.
 func up(addr string) error {
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
