Test: small time-outs tell nothing of work; an installation says how its brokers ended

load.Installation.Close dropped the errors of the brokers it ended; it returns them now. Module and network code of the broker are as they were.

--- a/internal/load/install.go
+++ b/internal/load/install.go
@@ -26,7 +26,7 @@
 	Objects  []string // or of their object fronts
 
 	nodes []*standin.Timed
-	stops []func()
+	stops []func() error
 }
 
 // Start starts a broker with a configuration file and returns how to end it.
@@ -100,7 +100,7 @@
 		return "", err
 	}
 	go f(ln)
-	in.stops = append(in.stops, func() { ln.Close() })
+	in.stops = append(in.stops, ln.Close)
 	return ln.Addr().String(), nil
 }
 
@@ -144,7 +144,7 @@
 		if err != nil {
 			return fmt.Errorf("broker %s: %w", name, err)
 		}
-		in.stops = append(in.stops, func() { stop() })
+		in.stops = append(in.stops, stop)
 	}
 	for _, at := range ports {
 		if err := up(at); err != nil {
@@ -225,12 +225,12 @@
 }
 
 // Close ends brokers and stand-ins.
-func (in *Installation) Close() error {
+func (in *Installation) Close() (err error) {
 	for i := len(in.stops) - 1; i >= 0; i-- {
-		in.stops[i]()
+		err = errors.Join(err, in.stops[i]())
 	}
 	in.stops = nil
-	return nil
+	return err
 }
 
 // pause has a node stand still as the trouble says: again and again at times of its own, or once.
--- a/policy/many_test.go
+++ b/policy/many_test.go
@@ -282,3 +282,26 @@
 		}
 	}
 }
+
+// Small requests that time out tell of the queue. Were their end taken for their work, one of mean size would be taken to need three aims, and where
+// none of it comes back to teach otherwise, nothing but small ones would ever go there again.
+func TestSmallTimeOutsTellNothingOfWork(t *testing.T) {
+	r := newRig(t, testConfig(), fleetOf(1)...)
+	n := r.s.nodes["n0"]
+	for id := uint64(1); id <= 60; id++ {
+		units := 1.0
+		if id == 60 {
+			units = 2
+		}
+		n.depth, n.suspect, r.s.all.depth = 1, false, 1
+		ev := r.arrive(id, 0, 0, "v", fmt.Sprint(id), units)
+		ev.Arrival.Shard = 0
+		r.s.volume(&ev.Arrival).credit = 100
+		if len(of(r.step(ev), Send)) == 0 {
+			t.Fatalf("request %d of %v units is refused; a mean one is taken to need %.2f s", id, units, n.mean)
+		}
+		r.pass(time.Second)
+		r.step(answered(id, "n0", TimedOut))
+		r.pass(100 * ms)
+	}
+}
