Lists that are pushed are watched; no failed call leaves a broker blind for over 6 s

Now a real broker always watches (config.Parse); where lists are pushed the first call comes at once, since what the agent has counts from the first moment, and a failed call is made again within 150 ms (Limits.ListRetry). An unknown word is an error naming the key.

The client now tells the module the longest pause that still fits (retryWithin: told time, less the time of an answer, less what the last call took).

Also read: net/http goes on dialing for a call that was given up, and MaxConnsPerHost is 1, so one connection that never came up kept discovery out of reach until the system gave up, about two minutes. Dialing has a time of its own now; TestHungConnectionDoesNotBlockLaterCalls hangs without it. A move no longer inherits the old address's patience.

ListLost is gone: the bound does its work. Its test asks the same of ListFailed with a bound.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -343,6 +343,11 @@
 	if c.Policy.MaxHint == 0 {
 		c.Policy.MaxHint = 2 * time.Second
 	}
+	// Over sockets lists come on a watch that the broker has opened, also where the settings say that they are pushed: then
+	// an agent of this broker's own has them, and what it has counts as told whether or not a watch is open.
+	if !c.Policy.Ask {
+		c.Policy.Ask, c.Policy.Pushed = true, true
+	}
 	if _, err := policy.New(c.Policy); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
@@ -416,7 +421,7 @@
 		MaxOpen: 4096, MaxBodies: memory / 6, MaxPipeline: 128, MaxMessage: 72 << 10, MaxArgs: 16, MaxValue: 64 << 10,
 		MaxID: 64, MaxParams: 1024, ClientWrite: 5 * s, ClientFirst: 2*s + 500*ms, ClientStall: 1*s + 500*ms,
 		ClientKeep: m.Sockets/3 - m.Sockets/24, // clients may hold a third: idle ones must not use that up
-		ClientLull: 2 * s, ClientIdle: 10 * s, BusyHint: 200 * ms,
+		ClientLull: 2 * s, ClientIdle: 10 * s, ClientLinger: 200 * ms, BusyHint: 200 * ms,
 		AnswerMargin: 5 * ms, DrainAccept: 500 * ms, DrainTotal: 5*s + 500*ms,
 		Connect: 250 * ms, NodeIdle: 10 * s, NodeFresh: 5 * s, NodeRest: 2 * ms, AnswerRest: 150 * ms, IdlePerNode: 16,
 		ListWait: 1 * s, ListGrace: 1 * s, ListTold: 6 * s, ListPause: 100 * ms, MaxList: 4 << 20, MaxListRows: 10000,
@@ -439,6 +444,9 @@
 	if v := c.Policy.AskWithin.Microseconds(); v > 0 {
 		l.ListWait = min(l.ListWait, max(1*s, v/2))
 	}
+	if c.Policy.Pushed {
+		l.ListRetry = 150 * ms
+	}
 	l.ListSpread = min(hosts*5*ms, 1*s+500*ms) // the old address serves on for so long
 	if v := ex.Limits.MaxOpen; v > 0 {
 		l.MaxOpen = min(l.MaxOpen, v)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"io"
 	"log/slog"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -101,19 +102,22 @@
 	cut   context.CancelFunc // ends the watch at hand
 	moved chan struct{}      // addr has changed; holds one
 
-	zones []string
-	known atomic.Int64 // rev, for others
-	rev   int64
-	whole debt      // whether the whole list is still to be read, whatever version is known
-	from  time.Time // and not before, where it is to be read later
-	owed  time.Time // until then news are owed: the watch fell silent or the address changed, and nothing has come since
-	grace int64     // how much later than its wait an answer may come
-	http  *http.Client
-	lim   *limits.Limits
-	give  func(nodes []core.Node, full bool)
-	tell  func(err error) // a watch has ended with err, or with nil a list has come
-	f     *policy.Facade
-	log   *slog.Logger
+	zones        []string
+	known        atomic.Int64 // rev, for other goroutines
+	rev          int64
+	fullList     fullListState
+	fullListAt   time.Time // when a scheduled full list is read
+	missingUntil time.Time // changes may be missing until then: the watch fell silent or the address changed, and nothing has come since
+	lastCall     time.Time // when the last call began
+	failures     int       // watches that ended since a list came
+	grace        int64     // how much later than its wait an answer may come
+	dial         func(ctx context.Context, network, addr string) (net.Conn, error)
+	http         *http.Client
+	lim          *limits.Limits
+	deliver      func(nodes []core.Node, full bool)
+	notify       func(err error) // a watch has ended with err, or with nil a list has come
+	facade       *policy.Facade
+	log          *slog.Logger
 }
 
 // NoList is the version of a list that is not known. 0 is a version like any other.
@@ -122,17 +126,19 @@
 // New returns a client that keeps the table and the module up to date. rev is that of the list they know.
 func New(addr string, rev int64, zones []string, table *core.Nodes, f *policy.Facade, lim *limits.Limits,
 	log *slog.Logger) *Client {
+	dialer := &net.Dialer{KeepAlive: -1}
 	c := &Client{
-		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, grace: lim.ListGrace, f: f, lim: lim, log: log,
-		http: &http.Client{
-			Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true,
-				IdleConnTimeout: clock.Duration(lim.NodeIdle)},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		},
+		addr: addr, cut: func() {}, moved: make(chan struct{}, 1), zones: zones, rev: rev, grace: lim.ListGrace,
+		dial: dialer.DialContext, facade: f, lim: lim, log: log,
+	}
+	c.http = &http.Client{
+		Transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true, DialContext: c.connect,
+			IdleConnTimeout: clock.Duration(lim.NodeIdle)},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	c.known.Store(rev)
-	c.tell = func(error) {}
-	c.give = func(nodes []core.Node, full bool) {
+	c.notify = func(error) {}
+	c.deliver = func(nodes []core.Node, full bool) {
 		// The table goes first: what the module decides next is checked against it.
 		table.Update(nodes, full)
 		f.List(Members(nodes), full)
@@ -140,11 +146,19 @@
 	return c
 }
 
+// connect opens a connection to discovery. It needs a timeout of its own: the transport goes on dialing for a call that
+// has been given up, and a connection that never comes up would keep every later call waiting for its place.
+func (c *Client) connect(ctx context.Context, network, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(c.lim.ListGrace))
+	defer cancel()
+	return c.dial(ctx, network, addr)
+}
+
 // Deliver has lists go to f, in their order, in place of the table and the module. It is called before Run.
-func (c *Client) Deliver(f func(nodes []core.Node, full bool)) { c.give = f }
+func (c *Client) Deliver(f func(nodes []core.Node, full bool)) { c.deliver = f }
 
 // Tell has f called with nil for every list that comes and with its error for every watch that ends. Before Run.
-func (c *Client) Tell(f func(err error)) { c.tell = f }
+func (c *Client) Tell(f func(err error)) { c.notify = f }
 
 // Rev is the version of the list that was delivered last; NoList where none was.
 func (c *Client) Rev() int64 { return c.known.Load() }
@@ -194,14 +208,15 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.f.WatchWanted():
+		case <-c.facade.WatchWanted():
 		case <-c.moved:
 		}
 		c.mu.Lock()
 		on, cut := context.WithCancel(ctx)
 		c.cut = cut
 		if c.at != "" && c.at != c.addr { // versions of one discovery mean nothing to another
-			c.whole, c.owed = now, time.Now().Add(clock.Duration(c.lim.ListTold))
+			c.fullList, c.missingUntil = fullListNow, time.Now().Add(clock.Duration(c.lim.ListTold))
+			c.grace = c.lim.ListGrace // how slow the old address was says nothing of the new one
 			c.http.CloseIdleConnections()
 		}
 		c.at = c.addr
@@ -218,27 +233,47 @@
 			continue // to the note in c.moved
 		}
 		c.log.Warn("discovery: watch ended", "err", err)
-		c.tell(err)
-		if time.Now().Before(c.owed) {
-			c.f.ListLost()
-		} else {
-			c.f.List(nil, false)
+		c.failures++
+		c.notify(err)
+		c.facade.ListFailed(c.retryWithin(time.Now()).Microseconds())
+	}
+}
+
+// The longest pauses between two calls while changes may be missing: after a first failure, and after further ones.
+const (
+	missingFirstRetry = 750 * time.Millisecond
+	missingRetry      = 1500 * time.Millisecond
+)
+
+// retryWithin is the longest pause before the next call after one that failed. Whatever failed before, a change counts as
+// told Limits.ListTold after discovery had it and could be reached. It could have been reached from the moment at which the
+// last call began, so the next one, with the time for its answer, has to fit into what is left of that.
+func (c *Client) retryWithin(now time.Time) time.Duration {
+	within := clock.Duration(c.lim.ListTold-c.lim.ListGrace) - now.Sub(c.lastCall)
+	if now.Before(c.missingUntil) {
+		if c.failures <= 1 {
+			within = min(within, missingFirstRetry)
 		}
+		within = min(within, missingRetry)
+	}
+	if c.lim.ListRetry > 0 {
+		within = min(within, clock.Duration(c.lim.ListRetry))
 	}
+	return max(within, clock.Duration(c.lim.ListPause))
 }
 
 // watch asks again at once after each answer, so that the watch goes on, and returns the first error. Its first
-// call reads the whole list where none is known.
+// call reads the full list where none is known.
 func (c *Client) watch(ctx context.Context, base string) error {
 	stood := false
 	for {
 		asked := time.Now()
 		rev := c.rev
-		if c.whole == now || c.whole == later && asked.After(c.from) {
+		if c.fullList == fullListNow || c.fullList == fullListScheduled && asked.After(c.fullListAt) {
 			rev = NoList
 		}
 		l, err := c.call(ctx, base, rev)
-		c.settle(err, rev, l != nil && l.All)
+		c.scheduleFullList(err, rev, l != nil && l.All)
 		if err != nil && rev == NoList && c.rev != NoList && ctx.Err() == nil {
 			continue // with what is new, at once: waiting would end the watch, and news go unheard meanwhile
 		}
@@ -248,12 +283,12 @@
 			l, err = c.call(ctx, base, NoList)
 		}
 		if stood && errors.Is(err, context.DeadlineExceeded) {
-			c.owed = asked.Add(clock.Duration(c.lim.ListTold))
+			c.missingUntil = asked.Add(clock.Duration(c.lim.ListTold))
 		}
-		if c.learn(err); err != nil {
+		if c.adjustGrace(err); err != nil {
 			return err
 		}
-		stood, c.owed = true, time.Time{}
+		stood, c.failures, c.missingUntil = true, 0, time.Time{}
 		nodes, err := l.Nodes(c.zones)
 		if err != nil {
 			return fmt.Errorf("node list %d: %w", l.Rev, err)
@@ -268,8 +303,8 @@
 			}
 		}
 		c.rev = l.Rev
-		c.give(nodes, l.All)
-		c.tell(nil)
+		c.deliver(nodes, l.All)
+		c.notify(nil)
 		c.known.Store(l.Rev)
 		if l.All {
 			c.log.Info("discovery: whole list read", "rev", l.Rev, "nodes", len(nodes))
@@ -280,41 +315,42 @@
 	}
 }
 
-// debt is the whole list that a broker still has to read at an address it has moved to.
-type debt uint8
+// fullListState says whether the full list is still to be read, whatever version is known.
+type fullListState uint8
 
 const (
-	none  debt = iota
-	now        // before all else
-	after      // once a call for what is new has been answered
-	later      // from some time on
+	fullListRead         fullListState = iota // nothing is outstanding
+	fullListNow                               // it is read before all else
+	fullListAfterChanges                      // once a call for changes has been answered
+	fullListScheduled                         // from Client.fullListAt on
 )
 
-// settle follows the debt after a call. A discovery that cannot give whole lists to a fleet that has just moved to it may
+// scheduleFullList follows up a call. A discovery that cannot give full lists to a fleet that has just moved to it may
 // still tell what is new, for a fraction of the work: most often it is the same service at another address, and then that is
-// all there is to know. The whole list follows when the rush is over.
-func (c *Client) settle(err error, rev int64, all bool) {
+// all there is to know. The full list follows when the rush is over.
+func (c *Client) scheduleFullList(err error, rev int64, full bool) {
 	switch {
-	case err == nil && all:
-		c.whole = none
-	case err != nil && c.whole != none && rev == NoList && c.rev != NoList:
-		c.whole = after
-	case err == nil && c.whole == after:
-		c.whole = later
-		c.from = time.Now().Add(clock.Duration(c.lim.ListGrace + rand.Int64N(wholeSpread*c.lim.ListSpread+1)))
+	case err == nil && full:
+		c.fullList = fullListRead
+	case err != nil && c.fullList != fullListRead && rev == NoList && c.rev != NoList:
+		c.fullList = fullListAfterChanges
+	case err == nil && c.fullList == fullListAfterChanges:
+		c.fullList = fullListScheduled
+		c.fullListAt = time.Now().Add(clock.Duration(c.lim.ListGrace + rand.Int64N(fullListSpread*c.lim.ListSpread+1)))
 	}
 }
 
-// wholeSpread is how many times Limits.ListSpread the whole lists are spread over that could not be had at once.
-const wholeSpread = 6
+// fullListSpread is how many times Limits.ListSpread the full lists are spread over that could not be had at once.
+const fullListSpread = 6
 
-// learn sets how long the next answer is waited for. A discovery that is slow to answer must not be asked in vain forever;
-// but what a call that hangs should have told counts as told after Limits.ListTold, and a third of that is for asking again.
-func (c *Client) learn(err error) {
+// adjustGrace sets how long the next answer is waited for. A discovery that is slow to answer must not be asked in vain
+// forever; but what a call that hangs should have told counts as told after Limits.ListTold, and a third of that is for
+// asking again.
+func (c *Client) adjustGrace(err error) {
 	switch {
 	case err == nil:
 		c.grace = c.lim.ListGrace
-	case errors.Is(err, context.DeadlineExceeded) && !time.Now().Before(c.owed):
+	case errors.Is(err, context.DeadlineExceeded) && !time.Now().Before(c.missingUntil):
 		c.grace = min(2*c.grace, max(c.lim.ListGrace, c.lim.ListTold*2/3))
 	}
 }
@@ -327,7 +363,7 @@
 	wait, q := int64(0), url.Values{}
 	if rev != NoList {
 		// Of many brokers that began together, or were all told of one change, none should stay in step with the rest.
-		if wait = c.lim.ListWait - rand.Int64N(c.lim.ListWait/4+1); time.Now().Before(c.owed) {
+		if wait = c.lim.ListWait - rand.Int64N(c.lim.ListWait/4+1); time.Now().Before(c.missingUntil) {
 			wait = 0 // so that one that hangs as well is known by its grace
 		}
 		q.Set("after", strconv.FormatInt(rev, 10))
@@ -345,14 +381,14 @@
 	if err != nil {
 		return nil, err
 	}
-	asked := time.Now()
+	c.lastCall = time.Now()
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("status %d after %v", resp.StatusCode, time.Since(asked).Round(time.Millisecond))
+		return nil, fmt.Errorf("status %d after %v", resp.StatusCode, time.Since(c.lastCall).Round(time.Millisecond))
 	}
 	return decode(resp.Body, c.lim)
 }
--- /dev/null
+++ b/internal/discovery/retry_test.go
@@ -0,0 +1,131 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"poppyarch/internal/clock"
+	"poppyarch/internal/core"
+	"poppyarch/internal/limits"
+	"poppyarch/policy"
+)
+
+func discard() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// A connection that never comes up is given up with the call that it was opened for. The transport goes on dialing for
+// the next call otherwise, and allows one connection: discovery was then out of reach until the system gave up, two minutes later.
+func TestHungConnectionDoesNotBlockLaterCalls(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		io.WriteString(w, `{"rev":7,"all":true,"targets":[]}`)
+	}))
+	defer srv.Close()
+	lim := &limits.Limits{ListWait: 1000, ListGrace: 50_000, ListTold: 300_000, MaxList: 1 << 16, MaxListRows: 10, NodeIdle: 60_000_000}
+	c := New("", NoList, nil, core.NewNodes(), nil, lim, discard())
+	var hung sync.WaitGroup
+	hung.Add(1)
+	first, real := true, c.dial
+	c.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		if first {
+			first = false
+			defer hung.Done()
+			<-ctx.Done() // as where the network swallows what asks for a connection
+			return nil, ctx.Err()
+		}
+		return real(ctx, network, addr)
+	}
+	if _, err := c.call(t.Context(), srv.URL, NoList); err == nil {
+		t.Fatal("a call without a connection was answered")
+	}
+	hung.Wait() // forever, where only the system ends the attempt to connect
+	if l, err := c.call(t.Context(), srv.URL, NoList); err != nil || l.Rev != 7 {
+		t.Errorf("the next call: %v, %v", l, err)
+	}
+}
+
+// outage is a discovery that cannot be reached for a time: calls fail at once, or hang until they are given up, and those
+// that hung when it came back never hear of that. Something is new the moment it is back.
+type outage struct {
+	begun time.Time
+	end   time.Duration
+	hangs func(call int) bool
+	calls int
+}
+
+func (o *outage) RoundTrip(r *http.Request) (*http.Response, error) {
+	o.calls++
+	if time.Since(o.begun) < o.end {
+		if o.hangs(o.calls) {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		return nil, errors.New("connection refused")
+	}
+	body := `{"rev":2,"all":false,"targets":[{"uid":"a","endpoint":"x","state":"draining"}]}`
+	if strings.Contains(r.URL.RawQuery, "after=2") {
+		select {
+		case <-time.After(500 * time.Millisecond):
+		case <-r.Context().Done():
+			return nil, r.Context().Err()
+		}
+		body = `{"rev":2,"all":false,"targets":[]}`
+	}
+	return &http.Response{StatusCode: http.StatusOK, Request: r, Body: io.NopCloser(strings.NewReader(body))}, nil
+}
+
+// Whatever failed before and for however long, a broker of a fleet of any size has a change within the 6 s after which it
+// counts as told once discovery can be reached again. Backoffs that grew with the fleet came to 7.5 s, on top of the 4 s of a call that hung.
+func TestChangeIsHadInTimeAfterAnyOutage(t *testing.T) {
+	patterns := map[string]func(int) bool{
+		"refused":         func(int) bool { return false },
+		"silent":          func(int) bool { return true },
+		"silent, refused": func(n int) bool { return n%2 == 1 },
+		"mostly refused":  func(n int) bool { return n%4 == 0 },
+	}
+	for name, hangs := range patterns {
+		for _, hosts := range []int{1, 30, 300, 1024} {
+			for i := range 40 {
+				end := 5*time.Second + time.Duration(i)*613*time.Millisecond
+				synctest.Test(t, func(t *testing.T) {
+					if late := afterOutage(t, &outage{begun: time.Now(), end: end, hangs: hangs}, hosts, uint64(i)); late > 6*time.Second {
+						t.Errorf("%s, %d brokers, back after %v: the change was had %v later", name, hosts, end, late)
+					}
+				})
+			}
+		}
+	}
+}
+
+// afterOutage is how long after the end of an outage a broker has the change made then.
+func afterOutage(t *testing.T, o *outage, hosts int, seed uint64) time.Duration {
+	wait := max(1_000_000, min(int64(hosts)*10_000, 5_000_000))
+	lim := &limits.Limits{ListWait: wait, ListGrace: 1_000_000, ListTold: 6_000_000, ListPause: 100_000, MaxList: 1 << 16, MaxListRows: 10, NodeIdle: 10_000_000}
+	f, err := policy.NewFacade(policy.Config{Seed: seed, Hosts: hosts, Ask: true, AskWithin: 10 * time.Second,
+		Classes: []policy.Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}}, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := core.NewNodes()
+	c := New("x:1", 1, nil, table, f, lim, discard())
+	c.http.Transport = o
+	ctx, stop := context.WithCancel(t.Context())
+	defer synctest.Wait()
+	defer stop()
+	go core.Loop(ctx, f, clock.New())
+	go c.Run(ctx)
+	for ; c.Rev() < 2; time.Sleep(10 * time.Millisecond) {
+		if time.Since(o.begun) > o.end+time.Minute {
+			t.Fatal("never had")
+		}
+	}
+	return time.Since(o.begun) - o.end
+}
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -32,10 +32,10 @@
 			t.Errorf("%d µs for the next answer, want %d", c.grace, want)
 		}
 	}
-	if c.learn(io.ErrUnexpectedEOF); c.grace != 8002 {
+	if c.adjustGrace(io.ErrUnexpectedEOF); c.grace != 8002 {
 		t.Errorf("%d µs after a broken answer", c.grace)
 	}
-	if c.learn(nil); c.grace != 1000 {
+	if c.adjustGrace(nil); c.grace != 1000 {
 		t.Errorf("%d µs after a good answer", c.grace)
 	}
 }
@@ -93,8 +93,8 @@
 				t.Fatal(err)
 			}
 		}
-		if !time.Now().Before(c.owed) || c.grace != lim.ListGrace {
-			t.Errorf("owed until %v, now %v; %d µs of patience", c.owed, time.Now(), c.grace)
+		if !time.Now().Before(c.missingUntil) || c.grace != lim.ListGrace {
+			t.Errorf("owed until %v, now %v; %d µs of patience", c.missingUntil, time.Now(), c.grace)
 		}
 		if len(waits) != 3 || waits[1] == "0" || waits[2] != "0" {
 			t.Errorf("calls with waits %v: the last should have none", waits)
--- a/internal/lab/model/design.go
+++ b/internal/lab/model/design.go
@@ -155,7 +155,7 @@
 			}
 		case policy.ListFull, policy.ListChanged:
 			p.learn(ev)
-		case policy.ListFailed, policy.ListLost:
+		case policy.ListFailed:
 			p.asked, p.askAt = false, now+time.Duration((0.5+p.rng.Float64())*float64(time.Second))
 		case policy.TimerFired:
 			p.wakeAt = 0
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -27,6 +27,7 @@
 	ClientLull   int64 `json:"client_lull"`   // one without a request is closed after this where descriptors or memory are short
 	ClientKeep   int   `json:"client_keep"`   // so many connections that have carried a request stay; the longest idle go first
 	ClientIdle   int64 `json:"client_idle"`   // and after this in any case
+	ClientLinger int64 `json:"client_linger"` // a closed connection is waited on for so long where its last answer may not have arrived
 	BusyHint     int64 `json:"busy_hint"`     // come back after this where the process is full
 	AnswerMargin int64 `json:"answer_margin"` // an answer leaves so long before the client gives up
 	DrainAccept  int64 `json:"drain_accept"`  // after SIGTERM a front without clients, and the object front, goes on listening for this long
@@ -46,6 +47,7 @@
 	ListWait    int64 `json:"list_wait"`     // how long a watch call waits for news; one that hangs goes unnoticed for as long
 	ListGrace   int64 `json:"list_grace"`    // and how much later its answer may come; doubles with each that comes too late, within ListTold
 	ListTold    int64 `json:"list_told"`     // what a call should have told counts as told after this; a silent one is given up a third ahead
+	ListRetry   int64 `json:"list_retry"`    // the longest pause after a call that failed; 0: the module decides alone
 	ListSpread  int64 `json:"list_spread"`   // a broker that is told to move asks the new address within this
 	ListPause   int64 `json:"list_pause"`    // before the next call where one came back at once without news
 	MaxList     int64 `json:"max_list"`      // one answer
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -73,6 +73,11 @@
 	if err := json.Unmarshal([]byte(text), &in); err != nil {
 		return policy.Config{}, fmt.Errorf("settings: %w", err)
 	}
+	switch in.Discovery {
+	case "", "ask", "push":
+	default:
+		return policy.Config{}, fmt.Errorf("settings: discovery: %q is neither ask nor push", in.Discovery)
+	}
 	c, l := in.Contract, in.Limits
 	out := policy.Config{
 		Seed: seed, Hosts: in.Balancers, MaxAttempts: l.SendCap,
--- a/policy/api.go
+++ b/policy/api.go
@@ -54,6 +54,7 @@
 	Plans                           []Plan
 	MaxAttempts                     int
 	Ask                             bool          // the node list must be asked for
+	Pushed                          bool          // asked for, but of an agent that serves this host alone
 	AskWithin                       time.Duration // asked less often, the host counts as told
 	Hints                           bool          // clients are told when to come back
 	MaxHint                         time.Duration
@@ -71,6 +72,15 @@
 	Far                             time.Duration // what a node in another zone has to be better by, for new objects
 }
 
+// firstAsk is the mean wait after a first list call that failed. Hosts that share a discovery wait the longer, the more
+// they are.
+func (c *Config) firstAsk() time.Duration {
+	if c.Pushed {
+		return watchWait
+	}
+	return max(watchWait, min(watchMost, time.Duration(c.Hosts)*watchEach))
+}
+
 // check reports the first setting that cannot be, by its name and value.
 func (c *Config) check() error {
 	if len(c.Classes) == 0 {
@@ -181,8 +191,7 @@
 	ClientLeft                   // ID
 	ListFull                     // Members is the whole list
 	ListChanged                  // Members are the changed entries
-	ListFailed                   // a list call failed or the watch broke
-	ListLost                     // the same, and what it should have told counts as told soon: it was silent, or discovery has moved
+	ListFailed                   // a list call failed or the watch broke; Within
 	TimerFired                   // Token
 )
 
@@ -198,6 +207,7 @@
 	Elsewhere float64 // units this node served the volume through other hosts since its last answer
 	Arrival   Arrival
 	Members   []Member
+	Within    time.Duration // the longest pause before the next list call; 0: not told
 	Token     uint64
 }
 
@@ -206,7 +216,7 @@
 
 // The actions.
 const (
-	Send   ActionKind = iota // ID, Node, After: the attempt's time-out
+	Send   ActionKind = iota // ID, Node, After: the attempt's time-out; By
 	Refuse                   // ID, After: when to come back
 	Fail                     // ID
 	Timer                    // After, Token
@@ -220,6 +230,7 @@
 	ID    uint64
 	Node  string
 	After time.Duration
+	By    time.Duration // the attempt may not begin later than this, on the clock of Step; 0: whenever it can
 	Token uint64
 	Text  string
 }
--- a/policy/facade.go
+++ b/policy/facade.go
@@ -22,6 +22,7 @@
 	Verdict Verdict
 	Node    string
 	Timeout int64
+	SendBy  int64 // the attempt may not begin later than this; 0: whenever it can
 	Hint    int64
 }
 
@@ -127,25 +128,23 @@
 	}
 }
 
-// List hands in the node list, or with full false its changed entries. A nil list says that asking failed.
+// List hands in the node list, or with full false its changed entries.
 func (f *Facade) List(members []Member, full bool) {
 	ev := Event{Kind: ListChanged, Members: members}
 	if full {
 		ev.Kind = ListFull
-	} else if members == nil {
-		ev.Kind = ListFailed
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.push(ev)
 }
 
-// ListLost hands in that asking failed while news are owed: what a silent watch or a discovery that has moved should have
-// told counts as told within seconds.
-func (f *Facade) ListLost() {
+// ListFailed hands in that a call for the list failed or its watch ended. The next call is wanted within so many
+// microseconds; 0 leaves that to the module.
+func (f *Facade) ListFailed(within int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.push(Event{Kind: ListLost})
+	f.push(Event{Kind: ListFailed, Within: micros(within)})
 }
 
 // Tick is one turn: the module takes in what has come and decides. It returns when the next turn is due at the
@@ -185,7 +184,8 @@
 			f.push(Event{Kind: Answered, ID: a.ID, Attempt: c.sends - 1, Node: a.Node, Outcome: NotSent, Final: true})
 			return
 		}
-		c.verdict <- Decision{Verdict: ToNode, Node: a.Node, Timeout: int64(a.After / time.Microsecond)}
+		c.verdict <- Decision{Verdict: ToNode, Node: a.Node, Timeout: int64(a.After / time.Microsecond),
+			SendBy: int64(a.By / time.Microsecond)}
 	case Refuse, Fail:
 		if c := f.calls[a.ID]; !c.left {
 			delete(f.calls, a.ID)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -185,7 +185,7 @@
 		cfg: cfg, reqs: map[uint64]*request{}, byShard: map[int][]*node{},
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), jitter: rand.New(rand.NewPCG(cfg.Seed, 2)),
 		vols: map[string]*volume{}, nodes: map[string]*node{}, turns: map[string]*turn{},
-		askFirst: max(watchWait, min(watchMost, time.Duration(cfg.Hosts)*watchEach)),
+		askFirst: cfg.firstAsk(),
 		unserved: map[piece]time.Duration{}, askedOf: map[int]*meter{}, trust: 0.5, all: history{depth: 1},
 	}, nil
 }
@@ -245,7 +245,7 @@
 			s.leave(r)
 			s.close(r)
 		}
-	case ListFull, ListChanged, ListFailed, ListLost:
+	case ListFull, ListChanged, ListFailed:
 		s.learn(ev)
 	case TimerFired:
 		if s.now >= s.wakeAt {
@@ -588,14 +588,13 @@
 	maps.DeleteFunc(s.unserved, func(_ piece, until time.Duration) bool { return until <= s.now })
 	maps.DeleteFunc(s.turns, func(_ string, t *turn) bool { return len(t.queue) == 0 && t.rest <= s.now })
 	maps.DeleteFunc(s.vols, func(_ string, v *volume) bool {
-		full := v.limit.rate*forget.Seconds() >= v.limit.max // as it will be when it is met again
-		return v.waiting == 0 && s.now > v.seen+forget && full
+		return v.waiting == 0 && s.now > v.seen+forget && // and full when it is met again:
+			v.limit.rate*forget.Seconds() >= v.limit.max
 	})
 }
 
 // endPeriod compares the served units of volumes with waiting requests and sets the compensation.
 func (s *Scheduler) endPeriod() {
-	eps := epsUnits * s.cfg.MeanUnits
 	for _, n := range s.list {
 		s.inWindow(n)
 		for _, r := range n.out { // what is still out tells of a long stay sooner than its answer would
@@ -615,7 +614,7 @@
 		}
 		for _, f := range n.flows {
 			w := f.vol.plan.Weight
-			if gap := f.served/w - least; len(f.queue) > 0 && gap > eps {
+			if gap := f.served/w - least; len(f.queue) > 0 && gap > epsUnits*s.cfg.MeanUnits {
 				f.comp = gap * w
 			} else if len(f.queue) == 0 {
 				f.comp = 0 // nobody waits, so there is nothing to hold back
@@ -865,6 +864,9 @@
 	// aim however many hosts send. Covers hung, dead and lossy nodes too; may lose late answers that still pay.
 	after := max(min(r.aimAt, r.a.Due)-s.now, tickBusy)
 	s.act = append(s.act, Action{Kind: Send, ID: r.id, Node: n.Node, After: after})
+	if r.risk != nil && r.class.Repeat == Keyed { // a connection may take long to come up
+		s.act[len(s.act)-1].By = r.riskAt + r.class.RepeatWindow
+	}
 }
 
 // ---- admission ----
@@ -962,14 +964,12 @@
 
 // learn takes the node list's news.
 func (s *Scheduler) learn(ev *Event) {
-	if ev.Kind >= ListFailed { // asked again at once by all, a queue that has got long never empties
-		first, most := s.askFirst, max(2*watchWait, min(4*watchMost, 4*watchEach*time.Duration(s.cfg.Hosts)))
-		if ev.Kind == ListLost { // a second more, and it would be held to what it cannot know
-			first, most = watchWait, 2*watchWait
-		}
-		wait := min(first<<min(s.failed, 4), most, cmp.Or(s.cfg.AskWithin, time.Minute)/2)
+	if ev.Kind == ListFailed { // asked again at once by all, a queue that has got long never empties
+		most := max(2*watchWait, min(4*watchMost, 4*watchEach*time.Duration(s.cfg.Hosts)))
+		wait := min(s.askFirst<<min(s.failed, 4), most, cmp.Or(s.cfg.AskWithin, time.Minute)/2)
+		wait = min(wait*3/2, cmp.Or(ev.Within, time.Hour)) // a pause takes a third of this to all of it
 		s.watching, s.failed = false, s.failed+1
-		s.askAt = s.now + time.Duration(float64(wait)*(0.5+s.jitter.Float64()))
+		s.askAt = s.now + time.Duration(float64(wait)*(1+2*s.jitter.Float64())/3)
 		return
 	}
 	s.failed = 0
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -382,7 +382,11 @@
 			for _, a := range r.step(Event{Kind: TimerFired, Token: 1}) {
 				if a.Kind == Watch {
 					asked = append(asked, r.now)
-					r.step(Event{Kind: ListLost})
+					within := 1500 * ms
+					if len(asked) == 1 {
+						within = 750 * ms
+					}
+					r.step(Event{Kind: ListFailed, Within: within})
 				}
 			}
 			r.now += 20 * ms
