A repeat does not begin after its window, and nothing begins for a client that has gone

Read: a repeat of a class with a window (dedup_window_ns) is decided on within it, but its connection may take connect_timeout_ns to come up, and as long again where every descriptor is in use; nothing looked at the window after that (core.do asked Attempt.Open for the node's state alone). Now the module's Send says until when it may begin, and Open holds it.

Attempt.Open also looks whether the client is still there (Request.Left, set by the fronts): none may begin 0.1 s after it has gone, and a front does not always notice by reading.

What was held until its time was up with no attempt is refused and not failed.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,13 +35,13 @@
 // ErrClientLeft is the cause with which a front cancels a request whose client went away.
 var ErrClientLeft = errors.New("client left")
 
-// errDue is the cause with which the core ends an attempt at its client's deadline.
-var errDue = errors.New("due")
+// ErrDue is the cause with which an attempt ends at its client's deadline, or at that of a drain.
+var ErrDue = errors.New("due")
 
 // Ended names the outcome of an attempt that ended with its ctx: a node that was silent until the client's time was up
 // has timed out, and the module must hear of that; where the client left, it tells nothing.
 func Ended(ctx context.Context) Outcome {
-	if context.Cause(ctx) == errDue {
+	if context.Cause(ctx) == ErrDue {
 		return TimedOut
 	}
 	return Cancelled
@@ -52,6 +52,9 @@
 	policy.Job
 	Unsafe bool // must never run twice
 	Work   W
+	// Left, where it is set, looks whether the client has gone without its front having noticed yet. It is asked right
+	// before each attempt: none may begin for a client that has gone.
+	Left func() bool
 }
 
 // Attempt is one try at one node.
@@ -61,8 +64,8 @@
 	Unsafe   bool
 	Number   int   // of the request, from 0 on
 	Deadline int64 // the broker stops waiting then
-	// Open reports whether the node still takes new work. It is asked once more after dialling, right before
-	// the first byte: the list may have changed meanwhile.
+	// Open reports whether the attempt may still begin. It is asked once more after dialling, right before the first
+	// byte: the node may have begun to drain meanwhile, the client may have gone, the time for a repeat may be over.
 	Open func() bool
 	// Begin tells that the answer starts to reach the client, which ends the request for the module.
 	Begin func()
@@ -88,7 +91,7 @@
 	Kind    Kind
 	Value   V     // of a Success, or of a Failure whose answer had begun
 	Hint    int64 // of a Refusal: come again after so many microseconds; 0: no advice
-	Overdue bool  // of a Failure: the client's time ran out
+	Overdue bool  // of a Failure or a Refusal: the client's time ran out
 }
 
 // Broker joins one front's requests with the backend that serves them.
@@ -151,7 +154,7 @@
 	last := r.Due - b.lim.AnswerMargin
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	due := time.AfterFunc(clock.Duration(last-b.clock.Now()), func() { cancel(errDue) })
+	due := time.AfterFunc(clock.Duration(last-b.clock.Now()), func() { cancel(ErrDue) })
 	defer due.Stop()
 	id, d := b.facade.Pick(ctx, r.Job)
 	for number := 0; d.Verdict == policy.ToNode; number++ {
@@ -165,7 +168,7 @@
 			v, out = b.backend.Do(ctx, Attempt[W]{
 				Node: node, Work: r.Work, Unsafe: r.Unsafe, Number: number,
 				Deadline: min(b.clock.Now()+d.Timeout, last),
-				Open:     func() bool { return b.nodes.Takes(node) },
+				Open:     func() bool { return b.mayBegin(node, d.SendBy) && !gone(r.Left, cancel) },
 				Begin: func() {
 					due.Stop() // an answer that has begun has no deadline
 					b.facade.Began(id)
@@ -181,12 +184,29 @@
 			return Answer[V]{Kind: kind(out), Value: v, Overdue: out != Served && ctx.Err() != nil}
 		}
 	}
-	if d.Verdict == policy.Refused {
+	switch {
+	case d.Verdict == policy.Refused:
 		return Answer[V]{Kind: Refusal, Hint: d.Hint}
+	case d.Verdict == policy.Ended && context.Cause(ctx) == ErrDue:
+		return Answer[V]{Kind: Refusal, Hint: b.lim.BusyHint, Overdue: true} // held until its time was up: nothing ran
 	}
 	return Answer[V]{Kind: Failure, Overdue: d.Verdict == policy.Ended}
 }
 
+// mayBegin reports whether an attempt may begin now: its node takes new work, and the module's time for it is not over.
+func (b *Broker[W, V]) mayBegin(n Node, by int64) bool {
+	return b.nodes.Takes(n) && (by == 0 || b.clock.Now() <= by)
+}
+
+// gone reports whether a request's client has left. If so it cancels the request.
+func gone(left func() bool, cancel context.CancelCauseFunc) bool {
+	if left == nil || !left() {
+		return false
+	}
+	cancel(ErrClientLeft)
+	return true
+}
+
 func kind(o Outcome) Kind {
 	if o == Served {
 		return Success
