Fronts: clients that have gone are seen behind unread bytes; closing and draining lose nothing

Cause: block.take looked at nothing but the bytes; behind QUIT, malformed input or a full pipeline the reader does not read on at all, and net/http hears of an end only once a body is read and where nothing has come behind it. Now socket.Left asks the system (TCP_INFO), which sees an end behind unread bytes; take drops such requests, and every attempt looks once more.

Read: a drain closed a connection the moment its answer was written. Connections now end with a half close and a moment of reading (Limits.ClientLinger) where an answer went out lately.

Read: what was taken before SIGTERM kept its own deadline, which may lie after SIGKILL. It is now answered by Limits.DrainAnswer on both fronts, and what comes later is refused at once.

Read: the object front held its bound with netutil.LimitListener: idle clients kept everybody else out for a minute. The longest idle one now makes room (listener.go).

--- a/internal/front/block/client.go
+++ b/internal/front/block/client.go
@@ -103,7 +103,6 @@
 // slot is the place of one command's answer in the order.
 type slot struct {
 	answer chan []byte // holds one
-	last   bool        // the connection ends behind it
 	id     string      // of a request
 	bytes  atomic.Int64
 }
@@ -117,8 +116,8 @@
 }
 
 // put answers at once, in order.
-func (c *client) put(text string, last bool) {
-	s := &slot{answer: make(chan []byte, 1), last: last}
+func (c *client) put(text string) {
+	s := &slot{answer: make(chan []byte, 1)}
 	s.answer <- []byte(text)
 	c.owed.Add(1)
 	c.slots <- s
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -19,6 +19,7 @@
 	"poppyarch/internal/core"
 	"poppyarch/internal/limits"
 	"poppyarch/internal/node"
+	"poppyarch/internal/socket"
 )
 
 // Broker is what stands behind this front.
@@ -42,6 +43,8 @@
 	spare  int // connections from which on places are cleared
 	keep   int // connections that have carried a request
 
+	base     context.Context // of all requests
+	expire   context.CancelCauseFunc
 	held     atomic.Int64 // bytes of commands and answers not sent
 	draining atomic.Bool
 	until    atomic.Int64 // in a drain: all is answered by then
@@ -62,8 +65,9 @@
 	if lim.ClientKeep > 0 {
 		keep = min(keep, lim.ClientKeep)
 	}
+	base, expire := context.WithCancelCause(context.Background())
 	return &Front{broker: b, names: names, clock: c, lim: lim, log: log, most: conns, spare: spare, keep: keep,
-		conns: map[*client]struct{}{}, ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
+		base: base, expire: expire, conns: map[*client]struct{}{}, ids: map[string]struct{}{}, gone: make(chan struct{}, 1), drained: make(chan struct{})}
 }
 
 // Serve accepts clients until the listener is closed.
@@ -258,63 +262,93 @@
 func (f *Front) handle(rc redcon.Conn, first redcon.Command) {
 	w := rc.NetConn().(*wrapped)
 	dc := rc.Detach()
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(w.front.base)
 	var requests, writer sync.WaitGroup
 	writer.Go(func() { w.write(cancel) })
 	cmd, err := first, error(nil)
 	for err == nil {
-		if !w.take(ctx, cmd, &requests) {
-			break
+		if err = w.take(ctx, cmd, &requests); err == nil {
+			cmd, err = dc.ReadCommand()
 		}
-		cmd, err = dc.ReadCommand()
 	}
 	switch {
 	case errors.Is(err, errProtocol):
-		w.put("-ERR "+err.Error()+"\r\n", true)
-	case err != nil && !errors.Is(err, errIdle):
+		w.put("-ERR "+err.Error()+"\r\n")
+	case !errors.Is(err, errIdle) && !errors.Is(err, errQuit):
 		cancel(core.ErrClientLeft) // end of stream or reset
 	}
 	close(w.slots)
 	writer.Wait()
-	if errors.Is(err, errProtocol) {
-		// Closing with unread input resets the connection and may take the error with it.
-		w.net.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
-		io.CopyN(io.Discard, w.net.Conn, int64(f.lim.MaxMessage))
+	if !errors.Is(context.Cause(ctx), core.ErrClientLeft) && w.answeredLately() {
+		w.closeGently()
 	}
 	cancel(nil)
 	requests.Wait()
 }
 
-// take starts one command. It reports false where the connection ends behind it.
-func (w *wrapped) take(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) bool {
+// answeredLately reports whether the client may still be taking its last answer.
+func (c *client) answeredLately() bool {
+	return c.front.clock.Now()-c.since.Load() < lateAnswer
+}
+
+// lateAnswer is for how long an answer that was written may not have reached its client, in microseconds.
+const lateAnswer = 1_000_000
+
+// closeGently ends this side of the connection and waits a moment for the client to end its own. Closing over unread input
+// resets the connection, and what the client has not yet taken of its answers goes with it. What it sends meanwhile has
+// crossed the end of the connection and is dropped: the client asks again elsewhere.
+func (c *client) closeGently() {
+	if half, ok := c.net.Conn.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	c.net.SetReadDeadline(time.Now().Add(clock.Duration(c.front.lim.ClientLinger)))
+	io.CopyN(io.Discard, c.net.Conn, int64(c.front.lim.MaxMessage))
+}
+
+// errQuit ends a connection at its client's wish, behind the answers owed.
+var errQuit = errors.New("quit")
+
+// take starts one command. An error says that the connection ends behind it.
+func (w *wrapped) take(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) error {
 	f := w.front
 	switch strings.ToUpper(string(cmd.Args[0])) {
 	case "PING":
 		if len(cmd.Args) > 1 {
-			w.put("$"+strconv.Itoa(len(cmd.Args[1]))+"\r\n"+string(cmd.Args[1])+"\r\n", false)
+			w.put("$"+strconv.Itoa(len(cmd.Args[1]))+"\r\n"+string(cmd.Args[1])+"\r\n")
 		} else {
-			w.put("+PONG\r\n", false)
+			w.put("+PONG\r\n")
 		}
 	case "QUIT":
-		w.put("+OK\r\n", true)
-		return false
+		w.put("+OK\r\n")
+		return errQuit
 	case "BLK.READ", "BLK.WRITE":
 		r, err := parse(cmd.Args, f.names, f.clock.Now())
 		if err != nil {
-			w.put("-ERR "+printable(err.Error())+"\r\n", false)
+			w.put("-ERR "+printable(err.Error())+"\r\n")
 			break
 		}
 		if until := f.until.Load(); until > 0 {
+			if f.clock.Now() >= until {
+				w.put(string(busy(f.lim.BusyHint))) // nothing ran, and nothing would come back in time
+				break
+			}
 			r.Due = min(r.Due, until) // this process may be killed right after
 		}
+		// What a client wrote before it went is read after it has gone where this process was late or more than one
+		// command came at once.
+		left := func() bool { return socket.Left(w.net.Conn) }
+		if left() {
+			return core.ErrClientLeft
+		}
+		r.Left = left
 		s := &slot{id: string(r.Work.ID)}
 		if !f.open(s.id) {
-			w.put("-ERR id: a request of that id is open\r\n", false)
+			w.put("-ERR id: a request of that id is open\r\n")
 			break
 		}
 		if !f.hold(s, int64(len(cmd.Raw))) {
 			f.close(s)
-			w.put(string(busy(f.lim.BusyHint)), false) // nothing ran
+			w.put(string(busy(f.lim.BusyHint))) // nothing ran
 			break
 		}
 		w.owe(s)
@@ -331,9 +365,9 @@
 			s.answer <- b
 		})
 	default:
-		w.put("-ERR unknown command\r\n", false)
+		w.put("-ERR unknown command\r\n")
 	}
-	return true
+	return nil
 }
 
 // open notes a request's id until its answer is sent, or reports that another request has it. Nodes answer by id: a
@@ -390,11 +424,6 @@
 			}
 			w.front.trim() // where all were busy before
 		}
-		if s.last && !broken {
-			if c, ok := w.net.Conn.(interface{ CloseWrite() error }); ok {
-				c.CloseWrite()
-			}
-		}
 	}
 }
 
@@ -434,12 +463,15 @@
 
 // Drain goes on serving for a while, since clients hear of a restart late and keep the connections they have: one that
 // closes them at once leaves them without a broker until the next is up. Then it closes the listener, ends clients as
-// soon as they are owed nothing, and returns when none is left. ctx bounds the wait.
+// soon as they are owed nothing, and returns when none is left. What was taken is answered by Limits.DrainAnswer, however
+// long its client would wait: the process may be killed after that. ctx bounds the wait.
 func (f *Front) Drain(ctx context.Context) error {
 	began := f.clock.Now()
 	f.until.Store(began + f.lim.DrainAnswer)
 	f.draining.Store(true)
 	defer close(f.drained)
+	last := time.AfterFunc(clock.Duration(f.lim.DrainAnswer), func() { f.expire(core.ErrDue) })
+	defer last.Stop()
 	for {
 		f.mu.Lock()
 		n, passed := len(f.conns), f.clock.Now()-began
--- a/internal/front/block/front_test.go
+++ b/internal/front/block/front_test.go
@@ -27,7 +27,7 @@
 	const hour = 3_600_000_000
 	return &limits.Limits{MaxMessage: 4096, MaxArgs: 8, MaxValue: 2048, MaxPipeline: 8, MaxBodies: 1 << 20, MaxID: 16,
 		MaxParams: 200, ClientWrite: patience.Microseconds(), ClientFirst: hour, ClientStall: hour, ClientSend: hour,
-		ClientLull: hour, ClientIdle: hour, BusyHint: 150_000, DrainAnswer: hour}
+		ClientLull: hour, ClientIdle: hour, ClientLinger: 200_000, BusyHint: 150_000, DrainAnswer: hour}
 }
 
 func testNames(lim *limits.Limits) *Names {
--- a/internal/front/object/front.go
+++ b/internal/front/object/front.go
@@ -18,8 +18,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"poppyarch/internal/clock"
 	"poppyarch/internal/config"
 	"poppyarch/internal/core"
@@ -43,30 +41,38 @@
 	server *http.Server
 	conns  int
 	seq    atomic.Uint64
-	held   atomic.Int64 // bytes of bodies held
+	held   atomic.Int64    // bytes of bodies held
+	until  atomic.Int64    // in a drain: all is answered by then
+	base   context.Context // ends when that time is up
+	expire context.CancelFunc
 }
 
 // New returns a front for at most conns clients at once.
 func New(b Broker, cfg *config.Config, conns int, c *clock.Clock, log *slog.Logger) *Front {
 	f := &Front{broker: b, cfg: cfg, clock: c, lim: &cfg.Limits, log: log, conns: conns}
+	f.base, f.expire = context.WithCancel(context.Background())
 	f.server = &http.Server{
 		Handler: f, MaxHeaderBytes: f.lim.MaxHead, ReadHeaderTimeout: clock.Duration(f.lim.ObjectStall),
-		IdleTimeout: clock.Duration(f.lim.ObjectIdle), ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		ConnContext: withConn, ConnState: connState, IdleTimeout: clock.Duration(f.lim.ObjectIdle), ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}
 	return f
 }
 
 // Serve accepts clients until the listener is closed, and returns when Drain is over.
 func (f *Front) Serve(ln net.Listener) error {
-	err := f.server.Serve(netutil.LimitListener(ln, f.conns))
+	err := f.server.Serve(newListener(ln, f.conns, f.lim.ClientStall, f.clock))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return err
 }
 
-// Drain takes new connections for a while longer, closes idle ones and returns when all requests are answered.
+// Drain takes new connections for a while longer, closes idle ones and returns when all requests are answered. What was
+// taken is answered by Limits.DrainAnswer, unless its answer has begun: the process may be killed after that.
 func (f *Front) Drain(ctx context.Context) error {
+	f.until.Store(f.clock.Now() + f.lim.DrainAnswer)
+	last := time.AfterFunc(clock.Duration(f.lim.DrainAnswer), f.expire)
+	defer last.Stop()
 	f.server.SetKeepAlivesEnabled(false)
 	select {
 	case <-time.After(clock.Duration(f.lim.DrainAccept)):
@@ -88,7 +94,7 @@
 	id          string
 	bucket, key string
 	came, due   int64
-	began       bool
+	began       atomic.Bool
 	body        []byte
 }
 
@@ -107,7 +113,7 @@
 	if err == nil {
 		return
 	}
-	if x.began { // nothing more can be said; a cut connection tells the client that the body is not whole
+	if x.began.Load() { // nothing more can be said; a cut connection tells the client that the body is not whole
 		panic(http.ErrAbortHandler)
 	}
 	x.rc.SetWriteDeadline(time.Now().Add(clock.Duration(x.lim.ClientWrite)))
@@ -154,6 +160,10 @@
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		name = x.cfg.Object.Write
 	}
+	if until := x.until.Load(); until > 0 && x.clock.Now() >= until {
+		x.w.Header().Set("Retry-After", "1")
+		return errSlowDown // nothing ran, and nothing would come back in time
+	}
 	class := x.cfg.Class(name)
 	x.due = x.came + x.cfg.Policy.Classes[class].Deadline.Microseconds()
 	if ms > 0 {
@@ -235,6 +245,7 @@
 			Hosts: x.cfg.Policy.Hosts, Due: due,
 		},
 		Unsafe: x.cfg.Policy.Classes[class].Repeat == policy.Unsafe,
+		Left:   clientLeft(x.r.Context()),
 		Work: &objectstore.Call{Method: method, Target: (&url.URL{Path: "/" + x.bucket + "/" + x.key}).EscapedPath() +
 			query, Header: h, Body: x.body},
 	}
@@ -284,7 +295,14 @@
 
 // ask carries a request out and turns what is no answer of an object server into an error.
 func (x *exchange) ask(q core.Request[*objectstore.Call]) (*objectstore.Result, error) {
-	a := x.broker.Do(x.r.Context(), q)
+	ctx, cancel := context.WithCancelCause(x.r.Context())
+	defer cancel(nil)
+	defer context.AfterFunc(x.base, func() {
+		if !x.began.Load() {
+			cancel(core.ErrDue)
+		}
+	})()
+	a := x.broker.Do(ctx, q)
 	switch {
 	case a.Kind == core.Success:
 		return a.Value, nil
@@ -375,7 +393,7 @@
 
 // stream starts an answer that does not fit the buffer.
 func (x *exchange) stream(res *objectstore.Result) io.Writer {
-	x.began = true
+	x.began.Store(true)
 	x.header(res, -1)
 	x.w.WriteHeader(res.Status)
 	return &patient{x}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what a connection's receiving side holds.
@@ -45,3 +47,43 @@
 	}
 	return state
 }
+
+// The states of RFC 9293 that the system counts by, as far as a connection that was accepted can be in them while its peer
+// has neither closed nor reset it.
+const (
+	tcpEstablished = 1
+	tcpSynReceived = 3
+	tcpFinWait1    = 4
+	tcpFinWait2    = 5
+)
+
+// Left reports whether the peer has closed its side of a connection or reset it. It sees this also where bytes that came
+// before are still to be read, which hide the end from Peek.
+func Left(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	state, known := uint8(0), false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil {
+			state, known = info.State, true
+		}
+	})
+	switch {
+	case err != nil:
+		return true // closed on this side
+	case !known:
+		return Peek(c) == Ended
+	}
+	switch state {
+	case tcpEstablished, tcpSynReceived, tcpFinWait1, tcpFinWait2:
+		return false
+	}
+	return true
+}
