Tests over sockets for what a request, an answer or a signal may cross

Read: clients that send a byte now and then within a command never stop long enough to make room, so a few hundred keep everybody out for the longest deadline. Two stalls after the command's beginning they do, where the place is needed. A nudge no longer cuts the wait at a connection's end short.

--- a/internal/front/block/client.go
+++ b/internal/front/block/client.go
@@ -26,7 +26,7 @@
 	// Of the reader, and read by others only to choose whom to close.
 	last  atomic.Int64 // when its last byte came; 0: none
 	mid   atomic.Bool  // it stands within a command
-	began int64        // when that began
+	began atomic.Int64 // when that began
 	large bool         // it has carried a command that left a large buffer behind
 }
 
@@ -34,7 +34,7 @@
 func (c *client) heard(now int64, size int, mid bool) {
 	c.last.Store(now)
 	if mid && !c.mid.Load() {
-		c.began = now
+		c.began.Store(now)
 	}
 	c.mid.Store(mid)
 	c.large = c.large || size > largeCommand
@@ -52,7 +52,7 @@
 	case c.last.Load() == 0:
 		return c.came + lim.ClientFirst
 	case c.mid.Load():
-		return min(c.last.Load()+lim.ClientStall, c.began+lim.ClientSend)
+		return min(c.last.Load()+lim.ClientStall, c.began.Load()+lim.ClientSend)
 	case now < c.since.Load()+lim.ClientLull:
 		return c.since.Load() + lim.ClientLull
 	}
@@ -69,7 +69,7 @@
 		return nil
 	}
 	if c.mid.Load() {
-		if c.stalled(now, nudged) || now >= c.began+f.lim.ClientSend {
+		if c.stalled(now, nudged) || now >= c.began.Load()+f.lim.ClientSend {
 			c.ended.Store(true)
 			return errStalled
 		}
@@ -91,13 +91,17 @@
 // quietSince is when it was last heard of, or answered.
 func (c *client) quietSince() int64 { return max(c.last.Load(), c.since.Load()) }
 
-// stalled reports whether it has stopped within a command for too long: sooner where others need the place.
+// stalled reports whether it has stopped within a command for too long: sooner where others need the place. There one that
+// sends a byte now and then has to go as well, or a few hundred of them would keep everybody else out.
 func (c *client) stalled(now int64, needed bool) bool {
+	if !c.mid.Load() {
+		return false
+	}
 	wait := c.front.lim.ClientStall
 	if needed {
-		wait /= 4
+		return now >= c.last.Load()+wait/4 || now >= c.began.Load()+2*wait
 	}
-	return c.mid.Load() && now >= c.last.Load()+wait
+	return now >= c.last.Load()+wait
 }
 
 // slot is the place of one command's answer in the order.
--- a/internal/front/block/crossing_test.go
+++ b/internal/front/block/crossing_test.go
@@ -221,3 +221,32 @@
 		t.Errorf("%d requests that crossed the end were sent on", n)
 	}
 }
+
+// Clients that send a byte now and then hold every place. None of them ever stops within its command, but one has to go for a client
+// that has something to say.
+func TestDrippingClientsMakeRoom(t *testing.T) {
+	lim := testLimits()
+	lim.ClientStall = 1_000_000
+	r := newRig(t, lim, 2)
+	for i := range 2 {
+		c, _ := r.dial()
+		io.WriteString(c, "*1\r\n")
+		r.until("its half command is read", func() bool {
+			n := 0
+			for cl := range r.front.conns {
+				if cl.mid.Load() {
+					n++
+				}
+			}
+			return n == i+1
+		})
+	}
+	r.front.mu.Lock()
+	for cl := range r.front.conns {
+		cl.began.Add(-2 * lim.ClientStall) // as if it had gone on for so long
+		cl.last.Store(r.front.clock.Now() + 3_600_000_000)
+	}
+	r.front.mu.Unlock()
+	c, in := r.dial()
+	r.ping(c, in)
+}
--- a/internal/front/block/front.go
+++ b/internal/front/block/front.go
@@ -4,9 +4,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -273,7 +273,7 @@
 	}
 	switch {
 	case errors.Is(err, errProtocol):
-		w.put("-ERR "+err.Error()+"\r\n")
+		w.put("-ERR " + err.Error() + "\r\n")
 	case !errors.Is(err, errIdle) && !errors.Is(err, errQuit):
 		cancel(core.ErrClientLeft) // end of stream or reset
 	}
@@ -301,8 +301,16 @@
 	if half, ok := c.net.Conn.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
-	c.net.SetReadDeadline(time.Now().Add(clock.Duration(c.front.lim.ClientLinger)))
-	io.CopyN(io.Discard, c.net.Conn, int64(c.front.lim.MaxMessage))
+	end := time.Now().Add(clock.Duration(c.front.lim.ClientLinger))
+	buf := make([]byte, 4096)
+	for left := c.front.lim.MaxMessage; left > 0 && time.Now().Before(end); {
+		c.net.SetReadDeadline(end)
+		n, err := c.net.Conn.Read(buf)
+		left -= n
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // a nudge ends a read too soon
+			return
+		}
+	}
 }
 
 // errQuit ends a connection at its client's wish, behind the answers owed.
@@ -314,7 +322,7 @@
 	switch strings.ToUpper(string(cmd.Args[0])) {
 	case "PING":
 		if len(cmd.Args) > 1 {
-			w.put("$"+strconv.Itoa(len(cmd.Args[1]))+"\r\n"+string(cmd.Args[1])+"\r\n")
+			w.put("$" + strconv.Itoa(len(cmd.Args[1])) + "\r\n" + string(cmd.Args[1]) + "\r\n")
 		} else {
 			w.put("+PONG\r\n")
 		}
@@ -324,7 +332,7 @@
 	case "BLK.READ", "BLK.WRITE":
 		r, err := parse(cmd.Args, f.names, f.clock.Now())
 		if err != nil {
-			w.put("-ERR "+printable(err.Error())+"\r\n")
+			w.put("-ERR " + printable(err.Error()) + "\r\n")
 			break
 		}
 		if until := f.until.Load(); until > 0 {
--- a/internal/serve/rig_test.go
+++ b/internal/serve/rig_test.go
@@ -27,6 +27,10 @@
 // TestMain lets the test binary be a broker process of its own, which a test can kill.
 func TestMain(m *testing.M) {
 	if os.Getenv("POPPYARCH_TEST_SERVE") != "" {
+		if err := limitDescriptors(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
 		if err := Process(context.Background(), os.Getenv, listenTCP, os.Stderr); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(1)
--- /dev/null
+++ b/internal/serve/terms_test.go
@@ -0,0 +1,289 @@
+package serve
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/tidwall/redcon"
+
+	"poppyarch/internal/discovery"
+	"poppyarch/internal/standin"
+)
+
+// limitDescriptors holds a broker process to the descriptors that a test names.
+func limitDescriptors() error {
+	v := os.Getenv("POPPYARCH_TEST_DESCRIPTORS")
+	if v == "" {
+		return nil
+	}
+	n, err := strconv.ParseUint(v, 10, 32)
+	if err != nil {
+		return err
+	}
+	return syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n})
+}
+
+// A client goes while its request is at a node, which breaks off only then. What may run twice would go again, but nobody waits for
+// it. Each way of going hides the end from whoever only reads on: behind QUIT, behind malformed input, behind a pipeline.
+func TestNoFurtherAttemptForABlockClientThatHasGone(t *testing.T) {
+	for name, behind := range map[string]string{"close": "", "quit": "*1\r\n$4\r\nQUIT\r\n", "garbage": "garbage\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			came, gone := make(chan struct{}, 8), make(chan struct{})
+			b, c, in, stop := blockRig(t, func(rc redcon.Conn, cmd redcon.Command) bool {
+				if string(cmd.Args[2]) != "left" {
+					return false
+				}
+				came <- struct{}{}
+				<-gone
+				rc.Close()
+				return true
+			})
+			answerOf(t, c, in, command("BLK.READ", "object-read", "first"), 2) // the broker serves
+			io.WriteString(c, command("BLK.READ", "object-read", "left")+behind)
+			<-came
+			c.Close()
+			close(gone)
+			stop() // returns when the broker is through with all that it took
+			seen := 0
+			for _, s := range b.Seen() {
+				if s == "BLK.READ left" {
+					seen++
+				}
+			}
+			if seen != 1 {
+				t.Errorf("%d attempts for a client that had gone, want the first alone", seen)
+			}
+		})
+	}
+}
+
+// The same at the object front, where the server hears of a client's end only once a body is read and where nothing has come
+// behind it.
+func TestNoFurtherAttemptForAnObjectClientThatHasGone(t *testing.T) {
+	for name, request := range map[string]string{
+		"close":     "GET /art/x HTTP/1.1\r\nHost: b\r\n\r\n",
+		"body":      "GET /art/x HTTP/1.1\r\nHost: b\r\nContent-Length: 5\r\n\r\nhello",
+		"pipelined": "GET /art/x HTTP/1.1\r\nHost: b\r\n\r\nGET /art/y HTTP/1.1\r\nHost: b\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			base, stop := r.broker("")
+			home := r.home(base, "/art/x", []byte("value"))
+			came, gone := make(chan struct{}, 8), make(chan struct{})
+			r.stores[home].SetHook(func(w http.ResponseWriter, q *http.Request, next func()) {
+				came <- struct{}{}
+				<-gone
+				panic(http.ErrAbortHandler)
+			})
+			c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(c, request)
+			<-came
+			c.Close()
+			close(gone)
+			stop()
+			if n := count(r.stores[home], "GET /art/"); n != 1 {
+				t.Errorf("%d attempts for a client that had gone, want the first alone", n)
+			}
+		})
+	}
+}
+
+// Idle clients hold every descriptor that clients may have while discovery is down. Once it is back its list is read all the
+// same, the node that it now names is reached, and a new client is served.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	const descriptors = 64
+	r := newRig(t)
+	block := standin.NewBlock()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go block.Serve(ln)
+	r.disc.SetDown(true)
+	text := bytes.Replace(r.configText(`,"listen":"127.0.0.1:0","object":null`), []byte(`"sockets":1024`),
+		fmt.Appendf(nil, `"sockets":%d`, descriptors), 1)
+	base, p := r.start(text, fmt.Sprint("POPPYARCH_TEST_DESCRIPTORS=", descriptors))
+	addr := strings.TrimPrefix(base, "http://")
+	for i := range 3 * descriptors {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		if i%2 == 0 { // the others say nothing at all
+			io.WriteString(c, "*1\r\n$4\r\nPING\r\n")
+		}
+	}
+	eventually(t, "calls in vain", func() bool { return len(r.disc.Calls()) > 2 })
+	r.disc.Set(discovery.Target{UID: "s-0", Endpoint: ln.Addr().String(), AZ: "room", PodGroup: 0, State: "up"})
+	r.disc.SetDown(false)
+	eventually(t, "an answer by way of the node that the new list names", func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience / 4))
+		io.WriteString(c, command("BLK.READ", "object-read", fmt.Sprint("r", time.Now().UnixNano())))
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		return line == "$0\r\n"
+	})
+	if n := p.log.count("too many open files"); n > 0 {
+		t.Errorf("%d times out of descriptors", n)
+	}
+}
+
+// A broker that was killed and starts again with a long list is ready at once, whatever discovery does: one that takes calls
+// and answers none, one that refuses them, and both ways of getting lists.
+func TestRestartedBrokerIsReadyWithoutDiscovery(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	for _, ln := range []net.Listener{silent, closed} {
+		for _, how := range []string{"ask", "push"} {
+			r := newRig(t)
+			for i := range 300 {
+				r.disc.Set(discovery.Target{UID: fmt.Sprint("n-", i), Endpoint: "127.0.0.1:1", AZ: "room", PodGroup: i % 2, State: "up"})
+			}
+			text := r.configText(`,"listen":"127.0.0.1:0","object":null`)
+			text = bytes.Replace(text, []byte(r.discN.Addr()), []byte(ln.Addr().String()), 1)
+			text = bytes.Replace(text, []byte(`"discovery":"ask"`), fmt.Appendf(nil, `"discovery":%q`, how), 1)
+			for range 2 {
+				began := time.Now()
+				base, p := r.start(text)
+				c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.SetDeadline(began.Add(10 * time.Second))
+				if got := answerOf(t, c, bufio.NewReader(c), "*1\r\n$4\r\nPING\r\n", 1); got != "+PONG\r\n" {
+					t.Errorf("got %q", got)
+				}
+				c.Close()
+				p.kill()
+			}
+		}
+	}
+}
+
+// A reload that moves discovery and a drain right behind it, with a request at a node: the broker drains, and the request is answered.
+func TestReloadFollowedByADrain(t *testing.T) {
+	r := newRig(t)
+	base, p := r.process()
+	home := r.home(base, "/b/k", []byte("x"))
+	got, answer := make(chan struct{}), make(chan struct{})
+	r.stores[home].SetHook(func(_ http.ResponseWriter, _ *http.Request, next func()) {
+		close(got)
+		<-answer
+		next()
+	})
+	done := make(chan int, 1)
+	go func() { done <- r.do("GET", base+"/b/k", nil).status }()
+	<-got
+	moved := bytes.Replace(r.configText(""), []byte(r.discN.Addr()), []byte("127.0.0.1:1"), 1)
+	tmp := filepath.Join(filepath.Dir(p.config), "new")
+	if err := os.WriteFile(tmp, moved, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Rename(tmp, p.config); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Process.Signal(syscall.SIGHUP)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	eventually(t, "a drain", func() bool { return p.log.count("draining") > 0 })
+	close(answer)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("the open request got %d", status)
+	}
+	if err := p.cmd.Wait(); err != nil {
+		t.Errorf("the process ended with %v", err)
+	}
+}
+
+// Lists that are pushed come on a watch as well: nobody brings them. Without one a broker went on sending to nodes that drained.
+func TestPushedListsAreWatched(t *testing.T) {
+	r := newRig(t)
+	text := bytes.Replace(r.configText(""), []byte(`"discovery":"ask"`), []byte(`"discovery":"push"`), 1)
+	base, _ := r.start(text)
+	eventually(t, "a watch", func() bool { return len(r.disc.Calls()) > 1 })
+	for i := range 2 {
+		r.disc.Set(discovery.Target{UID: fmt.Sprint("s-", i), Endpoint: r.nodes[i].Addr(), AZ: "room", PodGroup: i, State: "draining"})
+	}
+	eventually(t, "nothing goes to nodes that drain", func() bool {
+		return r.do("PUT", base+"/b/k", []byte("x")).status == http.StatusServiceUnavailable
+	})
+}
+
+// The object front's clients that rest make room for others, and those that say nothing.
+func TestIdleObjectClientsMakeRoom(t *testing.T) {
+	r := newRig(t)
+	base, _ := r.broker(`,"tuning":{"client_conns":4,"client_stall":1000}`)
+	addr := strings.TrimPrefix(base, "http://")
+	for i := range 24 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		c.SetDeadline(time.Now().Add(patience))
+		if i%2 == 0 {
+			continue
+		}
+		io.WriteString(c, "GET /_health HTTP/1.1\r\nHost: b\r\n\r\n")
+		if line, err := bufio.NewReader(c).ReadString('\n'); err != nil || !strings.Contains(line, "200") {
+			t.Fatalf("client %d: %q, %v", i, line, err)
+		}
+	}
+}
+
+// A request at a node that never answers, with far more time than a process has after SIGTERM, is answered before it may be killed.
+func TestObjectDrainAnswersInItsTime(t *testing.T) {
+	r := newRig(t)
+	base, stop := r.broker(`,"tuning":{"drain_answer":100000,"drain_accept":1000}`)
+	home := r.home(base, "/art/x", []byte("value"))
+	got := make(chan struct{}, 8)
+	hung, release := context.WithCancel(context.Background())
+	t.Cleanup(release)
+	r.stores[home].SetHook(func(http.ResponseWriter, *http.Request, func()) {
+		got <- struct{}{}
+		<-hung.Done()
+	})
+	status := make(chan int, 1)
+	go func() {
+		resp, err := http.Get(base + "/art/x")
+		if err != nil {
+			status <- 0
+			return
+		}
+		resp.Body.Close()
+		status <- resp.StatusCode
+	}()
+	<-got
+	stop()
+	if s := <-status; s != http.StatusGatewayTimeout && s != http.StatusInternalServerError {
+		t.Errorf("the open request got %d", s)
+	}
+}
