--- a/internal/front/block/client.go
+++ b/internal/front/block/client.go
@@ -59,17 +59,17 @@
 	return min(now+lim.ClientLull/4, c.since.Load()+lim.ClientIdle)
 }
 
-// late decides whether a client that has been silent until now, or that was nudged, has to go. None goes that is owed
+// late decides whether a client that has been silent until now, or that was woken, has to go. None goes that is owed
 // an answer. Silent clients would hold descriptors that others need, half a command would hold its reader for good, and
 // idle ones hold memory.
 func (c *client) late(now int64) error {
 	f := c.front
-	nudged := c.net.nudged.Swap(false)
+	woken := c.net.woken.Swap(false)
 	if c.owed.Load() > 0 {
 		return nil
 	}
 	if c.mid.Load() {
-		if c.stalled(now, nudged) || now >= c.began.Load()+f.lim.ClientSend {
+		if c.stalled(now, woken) || now >= c.began.Load()+f.lim.ClientSend {
 			c.ended.Store(true)
 			return errStalled
 		}
@@ -77,7 +77,7 @@
 	}
 	idle := now - c.since.Load()
 	switch {
-	case nudged, c.last.Load() == 0 && now >= c.came+f.lim.ClientFirst, idle >= f.lim.ClientIdle,
+	case woken, c.last.Load() == 0 && now >= c.came+f.lim.ClientFirst, idle >= f.lim.ClientIdle,
 		c.last.Load() > 0 && idle >= f.lim.ClientLull && (c.large || f.crowded()):
 		c.ended.Store(true)
 		return errIdle
@@ -85,8 +85,8 @@
 	return nil
 }
 
-// leaving reports whether it has been told to go.
-func (c *client) leaving() bool { return c.ended.Load() || c.net.nudged.Load() }
+// closing reports whether it has been told to go.
+func (c *client) closing() bool { return c.ended.Load() || c.net.woken.Load() }
 
 // quietSince is when it was last heard of, or answered.
 func (c *client) quietSince() int64 { return max(c.last.Load(), c.since.Load()) }
--- a/internal/front/block/front_test.go
+++ b/internal/front/block/front_test.go
@@ -394,12 +394,12 @@
 	}
 	cl := &client{front: r.front, came: -1 << 60} // silent for ages
 	cl.net = &guarded{Conn: c, scan: scanner{lim: r.front.lim}, patient: cl, clock: r.front.clock}
-	cl.net.nudge()
+	cl.net.wake()
 	b := make([]byte, 4096)
 	if n, err := cl.net.Read(b); string(b[:n]) != read("a") || err != nil {
 		t.Errorf("got %q, %v", b[:n], err)
 	}
-	cl.net.nudge()
+	cl.net.wake()
 	if n, err := cl.net.Read(b); n != 0 || !errors.Is(err, errIdle) {
 		t.Errorf("got %q, %v, want the end", b[:n], err)
 	}
@@ -413,7 +413,7 @@
 	r.ask(used, usedIn)
 	_, silentIn := r.dial()
 	r.until("the silent client is there", func() bool { return len(r.front.conns) == 2 })
-	if now := r.front.clock.Now(); (&client{front: r.front, net: &guarded{}, came: now - 3_600_000_000}).rank(now) != 0 {
+	if now := r.front.clock.Now(); (&client{front: r.front, net: &guarded{}, came: now - 3_600_000_000}).evictionRank(now) != 0 {
 		t.Error("one that has been silent for long does not go first")
 	}
 	half, halfIn := r.dial()
--- a/internal/front/block/guard.go
+++ b/internal/front/block/guard.go
@@ -131,14 +131,14 @@
 		late(now int64) error
 		heard(now int64, size int, mid bool)
 	}
-	clock  *clock.Clock
-	nudged atomic.Bool // woken to look whether it should end
-	over   atomic.Bool // its input is at an end, by its own fault
+	clock *clock.Clock
+	woken atomic.Bool // woken to look whether it should end
+	over  atomic.Bool // its input is at an end, by its own fault
 }
 
-// nudge wakes the reader at once.
-func (g *guarded) nudge() {
-	g.nudged.Store(true)
+// wake wakes the reader at once.
+func (g *guarded) wake() {
+	g.woken.Store(true)
 	g.Conn.SetReadDeadline(time.Unix(1, 0))
 }
 
@@ -183,15 +183,15 @@
 		now := g.clock.Now()
 		// A moment at least: a deadline that has passed would end the read without a look at what there is.
 		g.Conn.SetReadDeadline(time.Now().Add(clock.Duration(max(g.patient.until(now)-now, look))))
-		if g.nudged.Load() {
-			g.Conn.SetReadDeadline(time.Unix(1, 0)) // the nudge came before and was just overwritten
+		if g.woken.Load() {
+			g.Conn.SetReadDeadline(time.Unix(1, 0)) // the wake-up came before and was just overwritten
 		}
 		n, err := g.Conn.Read(b)
 		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return n, err
 		}
 		if socket.Peek(g.Conn) != socket.Quiet {
-			g.nudged.Store(false) // whoever still wants it to end will ask again
+			g.woken.Store(false) // whoever still wants it to end will ask again
 			continue
 		}
 		if err := g.patient.late(g.clock.Now()); err != nil {
