Five measuring tools are one command with a subcommand each

tools/measure fleet | incident | nodes | record | subset, on cobra as the product's own command line; the five had a main, a flag for the binary and its absolute path each.

--- a/tools/fleetmeasure/main.go
+++ b/tools/measure/fleet.go
@@ -1,10 +1,7 @@
-// Command fleetmeasure holds a rolling change of the fleet's manager and agents against one of the single agent, on
-// loopback, under the same load: how long it takes, and what clients see. It prints a table in Markdown.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"os/exec"
@@ -14,25 +11,23 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"poppyarch/internal/stack"
 	"poppyarch/internal/standin"
 )
 
-func main() {
-	program := flag.String("program", "bin/poppyarch", "poppyarch")
-	runs := flag.Int("runs", 3, "repeats of each")
-	flag.Parse()
-	if err := run(*program, *runs); err != nil {
-		fmt.Fprintln(os.Stderr, "fleetmeasure:", err)
-		os.Exit(1)
-	}
+// fleetCommand holds a rolling change of the fleet's manager and agents against one of the single agent, on loopback, under
+// the same load: how long it takes, and what clients see.
+func fleetCommand() *cobra.Command {
+	var runs int
+	c := &cobra.Command{Use: "fleet", Short: "compare a rolling change of a fleet with one of a single agent",
+		RunE: func(*cobra.Command, []string) error { return measureRollouts(runs) }}
+	c.Flags().IntVar(&runs, "runs", 3, "repeats of each")
+	return c
 }
 
-func run(program string, runs int) error {
-	program, err := filepath.Abs(program)
-	if err != nil {
-		return err
-	}
+func measureRollouts(runs int) error {
 	fmt.Println("| way | run | start of 8 brokers | rolling change | requests | served a second | not reached | refused | failed | cut off | no answer | wrong |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 	for n := range runs {
@@ -40,7 +35,7 @@
 			name string
 			f    func(context.Context, *stack.Stack, *standin.Traffic, string) (time.Duration, time.Duration, error)
 		}{{"fleet", fleet}, {"fleet, agent killed in it", fleetKilled}, {"single agent", single}, {"single agent, killed", singleKilled}} {
-			if err := one(x.name, n+1, program, x.f); err != nil {
+			if err := rolloutOnce(x.name, n+1, x.f); err != nil {
 				return fmt.Errorf("%s: %w", x.name, err)
 			}
 		}
@@ -48,7 +43,7 @@
 	return nil
 }
 
-func one(name string, n int, program string, f func(context.Context, *stack.Stack, *standin.Traffic, string) (time.Duration, time.Duration, error)) error {
+func rolloutOnce(name string, n int, f func(context.Context, *stack.Stack, *standin.Traffic, string) (time.Duration, time.Duration, error)) error {
 	dir, err := os.MkdirTemp("", "fleet")
 	if err != nil {
 		return err
--- a/tools/incidentplay/main.go
+++ b/tools/measure/incident.go
@@ -1,15 +1,13 @@
-// Command incidentplay plays a scripted incident over a whole installation on loopback, has the report made from the
-// brokers' records, and holds it against what really happened.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"poppyarch/internal/incident"
 	"poppyarch/internal/incident/check"
 	"poppyarch/internal/incident/collect"
@@ -18,22 +16,19 @@
 	"poppyarch/internal/standin"
 )
 
-func main() {
-	program := flag.String("program", "bin/poppyarch", "poppyarch")
-	out := flag.String("o", "incident.html", "the report")
-	unit := flag.Duration("unit", time.Second, "how long a part of the script is")
-	flag.Parse()
-	if err := run(*program, *out, *unit); err != nil {
-		fmt.Fprintln(os.Stderr, "incidentplay:", err)
-		os.Exit(1)
-	}
+// incidentCommand plays a scripted incident over a whole installation on loopback, has the report made from the brokers'
+// records, and holds it against what really happened.
+func incidentCommand() *cobra.Command {
+	var out string
+	var unit time.Duration
+	c := &cobra.Command{Use: "incident", Short: "play a scripted incident and hold its report against what happened",
+		RunE: func(*cobra.Command, []string) error { return playIncident(out, unit) }}
+	c.Flags().StringVarP(&out, "output", "o", "incident.html", "the report")
+	c.Flags().DurationVar(&unit, "unit", time.Second, "how long a part of the script is")
+	return c
 }
 
-func run(program, out string, unit time.Duration) error {
-	program, err := filepath.Abs(program)
-	if err != nil {
-		return err
-	}
+func playIncident(out string, unit time.Duration) error {
 	dir, err := os.MkdirTemp("", "incident")
 	if err != nil {
 		return err
--- /dev/null
+++ b/tools/measure/main.go
@@ -0,0 +1,29 @@
+// Command measure runs the project's longer measurements, each on loopback, and prints tables in Markdown. No part of CI.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+)
+
+// program is the broker's binary, as an absolute path.
+var program string
+
+func main() {
+	root := &cobra.Command{
+		Use: "measure", Short: "run one of the project's longer measurements", SilenceUsage: true, SilenceErrors: true,
+		PersistentPreRunE: func(*cobra.Command, []string) (err error) {
+			program, err = filepath.Abs(program)
+			return err
+		},
+	}
+	root.PersistentFlags().StringVar(&program, "program", "bin/poppyarch", "the broker's binary")
+	root.AddCommand(fleetCommand(), incidentCommand(), nodesCommand(), recordCommand(), subsetCommand())
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "measure:", err)
+		os.Exit(1)
+	}
+}
--- a/tools/nodesmeasure/main.go
+++ b/tools/measure/nodes.go
@@ -1,35 +1,29 @@
-// Command nodesmeasure edits the list of storage nodes in every way under running brokers and load, and measures when new work
-// stops reaching the node that was taken away.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"poppyarch/internal/stack"
 	"poppyarch/internal/standin"
 )
 
-func main() {
-	program := flag.String("program", "bin/poppyarch", "poppyarch")
-	runs := flag.Int("runs", 3, "repeats")
-	flag.Parse()
-	if err := run(*program, *runs); err != nil {
-		fmt.Fprintln(os.Stderr, "nodesmeasure:", err)
-		os.Exit(1)
-	}
+// nodesCommand edits the list of storage nodes in every way under running brokers and load, and measures when new work
+// stops reaching the node that was taken away.
+func nodesCommand() *cobra.Command {
+	var runs int
+	c := &cobra.Command{Use: "nodes", Short: "edit node lists under load and measure when new work stops",
+		RunE: func(*cobra.Command, []string) error { return measureEdits(runs) }}
+	c.Flags().IntVar(&runs, "runs", 3, "repeats")
+	return c
 }
 
-func run(program string, runs int) error {
-	program, err := filepath.Abs(program)
-	if err != nil {
-		return err
-	}
+func measureEdits(runs int) error {
 	type sum struct {
 		most time.Duration
 		work int
@@ -37,7 +31,7 @@
 	var order []string
 	by := map[string]*sum{}
 	for range runs {
-		edits, err := one(program)
+		edits, err := editsOnce()
 		if err != nil {
 			return err
 		}
@@ -66,7 +60,7 @@
 	return nil
 }
 
-func one(program string) ([]stack.Edit, error) {
+func editsOnce() ([]stack.Edit, error) {
 	dir, err := os.MkdirTemp("", "nodes")
 	if err != nil {
 		return nil, err
--- a/tools/recordmeasure/main.go
+++ b/tools/measure/record.go
@@ -1,10 +1,7 @@
-// Command recordmeasure measures what records cost: a broker's CPU for a request without, with sampled and with full
-// recording, and the time to collect and analyse logs of growing size. It prints tables in Markdown.
 package main
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -16,6 +13,8 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"poppyarch/internal/incident"
 	"poppyarch/internal/incident/collect"
 	"poppyarch/internal/record"
@@ -23,32 +22,29 @@
 	"poppyarch/internal/standin"
 )
 
-func main() {
-	program := flag.String("program", "bin/poppyarch", "poppyarch")
-	runs := flag.Int("runs", 5, "repeats of each kind of broker")
-	most := flag.Int("events", 10_000_000, "of the largest log")
-	flag.Parse()
-	err := brokers(*program, *runs)
-	if err == nil {
-		err = logs(*most)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "recordmeasure:", err)
-		os.Exit(1)
-	}
+// recordCommand measures what records cost: a broker's CPU for a request without, with sampled and with full recording, and
+// the time to collect and analyse logs of growing size.
+func recordCommand() *cobra.Command {
+	var runs, events int
+	c := &cobra.Command{Use: "record", Short: "measure what records cost",
+		RunE: func(*cobra.Command, []string) error {
+			if err := measureRecording(runs); err != nil {
+				return err
+			}
+			return logs(events)
+		}}
+	c.Flags().IntVar(&runs, "runs", 5, "repeats of each kind of broker")
+	c.Flags().IntVar(&events, "events", 10_000_000, "of the largest log")
+	return c
 }
 
-// brokers runs one broker after the other under the same load, by turns, and compares their CPU for a request.
-func brokers(program string, runs int) error {
-	program, err := filepath.Abs(program)
-	if err != nil {
-		return err
-	}
+// measureRecording runs one broker after the other under the same load, by turns, and compares their CPU for a request.
+func measureRecording(runs int) error {
 	kinds := []string{"off", "1 in 100", "full"}
 	cpu := map[string][]float64{}
 	for range runs {
 		for _, kind := range kinds {
-			v, err := one(program, kind)
+			v, err := recordOnce(kind)
 			if err != nil {
 				return err
 			}
@@ -66,8 +62,8 @@
 	return nil
 }
 
-// one returns a broker's CPU seconds for a request.
-func one(program, kind string) (float64, error) {
+// recordOnce returns a broker's CPU seconds for a request.
+func recordOnce(kind string) (float64, error) {
 	dir, err := os.MkdirTemp("", "record")
 	if err != nil {
 		return 0, err
--- a/tools/subsetmeasure/main.go
+++ b/tools/measure/subset.go
@@ -1,25 +1,24 @@
-// Command subsetmeasure holds ways to give each broker a part of a fleet of nodes against each other: how unevenly nodes are
-// picked, and how many connections move when nodes change. It prints a table in Markdown.
 package main
 
 import (
 	"fmt"
 	"math"
 
+	"github.com/spf13/cobra"
 	"gonum.org/v1/gonum/stat"
 
 	"poppyarch/internal/routing"
 )
 
-// nodes are n of them, without the first so many.
-func nodes(n, without int) (out []routing.Node) {
+// subsetNodes are n of them, without the first so many.
+func subsetNodes(n, without int) (out []routing.Node) {
 	for k := without; k < n; k++ {
 		out = append(out, routing.Node{ID: fmt.Sprintf("node-%05d", k), Weight: 1})
 	}
 	return out
 }
 
-func brokers(n int) (out []string) {
+func subsetBrokers(n int) (out []string) {
 	for k := range n {
 		out = append(out, fmt.Sprintf("broker-%03d", k))
 	}
@@ -34,17 +33,24 @@
 	return out
 }
 
-func main() {
+// subsetCommand holds ways to give each broker a part of a fleet of nodes against each other: how unevenly nodes are picked,
+// and how many connections move when nodes change.
+func subsetCommand() *cobra.Command {
+	return &cobra.Command{Use: "subset", Short: "compare ways to give each broker a part of the nodes",
+		Run: func(*cobra.Command, []string) { compareSubsets() }}
+}
+
+func compareSubsets() {
 	const k = 20
 	fmt.Println("| nodes | brokers | way | picks of the most picked, against the mean | not picked at all | deviation, against the mean | connections moved at 1 % of the nodes removed, besides theirs | at 20 % |")
 	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, x := range []struct{ nodes, brokers int }{{100, 40}, {1000, 200}, {10000, 400}} {
-		b := brokers(x.brokers)
+		b := subsetBrokers(x.brokers)
 		for _, way := range []struct {
 			name string
 			f    func([]string, []routing.Node, int) map[string][]string
 		}{{"rounds of shuffles", routing.Rounds}, {"weighted rendezvous", rendezvous}, {"weighted rendezvous, bounded", routing.Bounded}} {
-			before := way.f(b, nodes(x.nodes, 0), k)
+			before := way.f(b, subsetNodes(x.nodes, 0), k)
 			count := map[string]float64{}
 			total := 0.0
 			for _, list := range before {
@@ -56,7 +62,7 @@
 			mean := total / float64(x.nodes)
 			var all []float64
 			most := 0.0
-			for _, n := range nodes(x.nodes, 0) {
+			for _, n := range subsetNodes(x.nodes, 0) {
 				all = append(all, count[n.ID])
 				most = math.Max(most, count[n.ID])
 			}
@@ -70,9 +76,9 @@
 			var moved []string
 			for _, share := range []float64{0.01, 0.2} {
 				gone := int(share * float64(x.nodes))
-				after := way.f(b, nodes(x.nodes, gone), k)
+				after := way.f(b, subsetNodes(x.nodes, gone), k)
 				lost := map[string]bool{}
-				for _, n := range nodes(x.nodes, 0)[:gone] {
+				for _, n := range subsetNodes(x.nodes, 0)[:gone] {
 					lost[n.ID] = true
 				}
 				n := 0
