Block front: linger only while an answer is on its way, look at a client less often

Now the system is asked whether its peer still lacks bytes (SIOCOUTQ), and a request is looked at as it is read only where it is the first on its connection or came behind another; the look before each attempt stays. TestAnswerSurvivesARequestThatCrossesTheEnd still fails without the linger (4096 of 60010 bytes).

--- a/internal/front/block/conn.go
+++ b/internal/front/block/conn.go
@@ -37,15 +37,18 @@
 	}
 	close(w.slots)
 	writer.Wait()
-	if !errors.Is(context.Cause(ctx), core.ErrClientLeft) && w.answeredLately() {
+	if errors.Is(err, errProtocol) || !errors.Is(context.Cause(ctx), core.ErrClientLeft) && w.answerOnItsWay() {
 		w.closeGently()
 	}
 	cancel(nil)
 	requests.Wait()
 }
 
-// answeredLately reports whether the client may still be taking its last answer.
-func (c *client) answeredLately() bool {
+// answerOnItsWay reports whether the client's system may still lack a part of the last answer.
+func (c *client) answerOnItsWay() bool {
+	if n, ok := socket.Unsent(c.net.Conn); ok {
+		return n > 0
+	}
 	return c.front.clock.Now()-c.since.Load() < lateAnswer
 }
 
@@ -103,7 +106,7 @@
 		// What a client wrote before it went is read after it has gone where this process was late or more than one
 		// command came at once.
 		left := func() bool { return socket.Left(w.net.Conn) }
-		if left() {
+		if (!w.asked.Load() || w.owed.Load() > 0) && left() {
 			return core.ErrClientLeft
 		}
 		r.Left = left
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -87,3 +87,20 @@
 	}
 	return true
 }
+
+// Unsent is how many bytes were written to a connection that its peer's system has not yet got; ok is false where that is
+// not known.
+func Unsent(c net.Conn) (n int, ok bool) {
+	sc, isRaw := c.(syscall.Conn)
+	if !isRaw {
+		return 0, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	if raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }) != nil || err != nil {
+		return 0, false
+	}
+	return n, true
+}
