--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -170,7 +170,7 @@
 		if k.Group > GroupShard {
 			return fmt.Errorf("%sgroup: %d is unknown", at, k.Group)
 		}
-		bad = append(bad, negative(at+"worth", k.Worth))
+		bad = append(bad, negative(at+"worth", k.Worth), negative(at+"dedup window", k.RepeatWindow.Seconds()))
 	}
 	for i, p := range c.Plans {
 		at := fmt.Sprintf("plans[%d].", i)
@@ -182,7 +182,13 @@
 		negative("warm", c.Warm.Seconds()), negative("tip window", c.TipWindow.Seconds()),
 		negative("key quiet", c.KeyQuiet.Seconds()), negative("budget window", c.BudgetWindow.Seconds()),
 		negative("ask within", c.AskWithin.Seconds()), negative("home", float64(c.Home)), negative("far", c.Far.Seconds()),
-		negative("handshake", c.Handshake), negative("keep", c.Keep.Seconds()))
+		negative("handshake", c.Handshake), negative("keep", c.Keep.Seconds()), negative("cold bears", c.ColdUnits),
+		negative("mean units", c.MeanUnits), negative("max units", c.MaxUnits), negative("fair worth", c.ShareWorth),
+		negative("max retry after", c.MaxHint.Seconds()), negative("free resends", c.BudgetFree),
+		negative("further ratio", c.BudgetShare))
+	if !(c.ColdFrom >= 0 && c.ColdFrom <= 1) {
+		bad = append(bad, fmt.Errorf("cold from: %v is not 0 to 1", c.ColdFrom))
+	}
 	for _, err := range bad {
 		if err != nil {
 			return err
--- a/internal/decision/decision_test.go
+++ b/internal/decision/decision_test.go
@@ -1,6 +1,7 @@
 package decision
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -60,3 +61,33 @@
 		t.Errorf("%+v, caller's plans %+v", c, plans)
 	}
 }
+
+// Each setting that cannot be is an error by its name.
+func TestCheckNamesWhatCannotBe(t *testing.T) {
+	good := func() Config {
+		return Config{Classes: []Class{{Name: "c", Aim: time.Second, Deadline: time.Second}}, Plans: []Plan{{Name: "p"}}}
+	}
+	if c := good(); c.Check() != nil {
+		t.Fatal(c.Check())
+	}
+	for name, spoil := range map[string]func(*Config){
+		"classes[0].aim":          func(c *Config) { c.Classes[0].Aim = 0 },
+		"classes[0].deadline":     func(c *Config) { c.Classes[0].Deadline = -1 },
+		"classes[0].dedup window": func(c *Config) { c.Classes[0].RepeatWindow = -1 },
+		"classes[0].worth":        func(c *Config) { c.Classes[0].Worth = -1 },
+		"plans[0].limit":          func(c *Config) { c.Plans[0].Limit = -1 },
+		"cold bears":              func(c *Config) { c.ColdUnits = -1 },
+		"cold from":               func(c *Config) { c.ColdFrom = 1.5 },
+		"mean units":              func(c *Config) { c.MeanUnits = -1 },
+		"max units":               func(c *Config) { c.MaxUnits = -1 },
+		"fair worth":              func(c *Config) { c.ShareWorth = -1 },
+		"further ratio":           func(c *Config) { c.BudgetShare = -1 },
+		"ask within":              func(c *Config) { c.AskWithin = -1 },
+	} {
+		c := good()
+		spoil(&c)
+		if err := c.Check(); err == nil || !strings.HasPrefix(err.Error(), name+":") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
