Block front: clients that are slow within a command go last of all; connections to discovery get 2 s

Read: the rule of today that a client two stalls into a command makes room came before idle clients, so a slow but honest one could go while others rested. A connection to discovery may take twice the grace of an answer: still short of the 6 s with the next call's answer, and longer than any connection that is only late.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -150,7 +150,7 @@
 // connect opens a connection to discovery. It needs a timeout of its own: the transport goes on dialing for a call that
 // has been given up, and a connection that never comes up would keep every later call waiting for its place.
 func (c *Client) connect(ctx context.Context, network, addr string) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, clock.Duration(c.lim.ListGrace))
+	ctx, cancel := context.WithTimeout(ctx, clock.Duration(2*c.lim.ListGrace))
 	defer cancel()
 	return c.dial(ctx, network, addr)
 }
--- a/internal/front/block/client.go
+++ b/internal/front/block/client.go
@@ -69,7 +69,7 @@
 		return nil
 	}
 	if c.mid.Load() {
-		if c.stalled(now, woken) || now >= c.began.Load()+f.lim.ClientSend {
+		if c.stalled(now, woken) || woken && c.tooSlow(now) || now >= c.began.Load()+f.lim.ClientSend {
 			c.ended.Store(true)
 			return errStalled
 		}
@@ -91,17 +91,19 @@
 // quietSince is when it was last heard of, or answered.
 func (c *client) quietSince() int64 { return max(c.last.Load(), c.since.Load()) }
 
-// stalled reports whether it has stopped within a command for too long: sooner where others need the place. There one that
-// sends a byte now and then has to go as well, or a few hundred of them would keep everybody else out.
+// stalled reports whether it has stopped within a command for too long: sooner where others need the place.
 func (c *client) stalled(now int64, needed bool) bool {
-	if !c.mid.Load() {
-		return false
-	}
 	wait := c.front.lim.ClientStall
 	if needed {
-		return now >= c.last.Load()+wait/4 || now >= c.began.Load()+2*wait
+		wait /= 4
 	}
-	return now >= c.last.Load()+wait
+	return c.mid.Load() && now >= c.last.Load()+wait
+}
+
+// tooSlow reports whether it has been within a command for so long that it goes where others need the place, though it
+// sends a byte now and then: a few hundred of such clients would keep everybody else out.
+func (c *client) tooSlow(now int64) bool {
+	return c.mid.Load() && now >= c.began.Load()+2*c.front.lim.ClientStall
 }
 
 // slot is the place of one command's answer in the order.
--- a/internal/front/block/eviction.go
+++ b/internal/front/block/eviction.go
@@ -11,8 +11,8 @@
 
 // evictionRank orders clients by how little it costs to close them: those that got their error or have not said a word for
 // some time, those that have stopped within a command, those that have only connected or said PING, those between two
-// requests. All others stay, and so do those told to go a moment ago, which would be waited for in vain where something
-// has come from them meanwhile.
+// requests, those that are far too slow within a command. All others stay, and so do those told to go a moment ago, which
+// would be waited for in vain where something has come from them meanwhile.
 func (c *client) evictionRank(now int64) int {
 	switch {
 	case c.owed.Load() > 0, c.closing():
@@ -21,6 +21,8 @@
 		return 0
 	case c.stalled(now, true):
 		return 1
+	case c.tooSlow(now):
+		return slow
 	case c.mid.Load():
 		return notEvictable
 	case !c.asked.Load():
@@ -31,7 +33,8 @@
 
 const (
 	between      = 3 // two requests
-	notEvictable = 4
+	slow         = 4 // within a command
+	notEvictable = 5
 )
 
 // evictable is the client whose end costs least, the longest quiet one first, among those of ranks from least to under
@@ -109,7 +112,7 @@
 		}
 	}
 	for ; over > 0; over-- {
-		idle := f.evictable(between, notEvictable)
+		idle := f.evictable(between, slow)
 		if idle == nil {
 			return
 		}
