--- a/internal/serve/terms_test.go
+++ b/internal/serve/terms_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -293,6 +294,7 @@
 func TestLateSecondAnswerIsNotTheNextOnes(t *testing.T) {
 	const late = 10 * time.Millisecond
 	var last struct {
+		sync.Mutex
 		conn redcon.Conn
 		id   string
 		at   time.Time
@@ -305,6 +307,8 @@
 	}
 	_, c, in, _ := blockRig(t, func(rc redcon.Conn, cmd redcon.Command) bool {
 		id := string(cmd.Args[2])
+		last.Lock()
+		defer last.Unlock()
 		if rc == last.conn && time.Since(last.at) < late {
 			answer(rc, last.id)
 		}
