--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -72,7 +72,7 @@
 	err = raw.Control(func(fd uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		if err == nil {
-			state, known = info.State, true
+			state, known = info.State, info.State != 0 // no state has that number
 		}
 	})
 	switch {
