--- a/review/kit/kit.go
+++ b/review/kit/kit.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
 	"strconv"
@@ -59,6 +60,12 @@
 		c.Logf("result: the case took longer than 110 s")
 		c.end(NotRun)
 	})
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		c.Logf("result: the case was stopped by %v", <-stopped)
+		c.end(NotRun)
+	}()
 	code := c.run(run)
 	watchdog.Stop()
 	c.end(code)
