--- a/review/kit/objects.go
+++ b/review/kit/objects.go
@@ -170,8 +170,8 @@
 }
 
 // StartObjectBroker starts a broker with the operators' deploy/object.json, in which only the addresses are changed,
-// and waits until it serves. It returns the process and its address.
-func (c *Case) StartObjectBroker(discovery string) (*Process, string) {
+// and waits until it serves. It returns the process and its address. With both, the block frontend is on too.
+func (c *Case) StartObjectBroker(discovery string, both bool) (*Process, string) {
 	text, err := os.ReadFile(filepath.Join(c.Root, "deploy", "object.json"))
 	Must(err)
 	var config map[string]any
@@ -179,6 +179,9 @@
 	addr := FreeAddr()
 	config["discovery"] = discovery
 	config["object"].(map[string]any)["listen"] = addr
+	if both {
+		config["listen"] = FreeAddr()
+	}
 	text, err = json.Marshal(config)
 	Must(err)
 	path := c.WriteFile("broker.json", string(text))
