--- a/internal/broker/server/block_test.go
+++ b/internal/broker/server/block_test.go
@@ -55,7 +55,7 @@
 
 // startBlockBroker starts a block node, a broker whose endpoint list names it, and a client connection to the broker.
 // hook may be nil.
-func startBlockBroker(t *testing.T, hook func(redcon.Conn, redcon.Command) bool) (*fake.BlockServer, net.Conn, *bufio.Reader, func()) {
+func startBlockBroker(t testing.TB, hook func(redcon.Conn, redcon.Command) bool) (*fake.BlockServer, net.Conn, *bufio.Reader, func()) {
 	t.Helper()
 	f := newFixture(t)
 	b := fake.NewBlockServer()
@@ -88,7 +88,7 @@
 }
 
 // sendAndRead sends a command and returns the given number of response lines.
-func sendAndRead(t *testing.T, c net.Conn, in *bufio.Reader, cmd string, lines int) (out string) {
+func sendAndRead(t testing.TB, c net.Conn, in *bufio.Reader, cmd string, lines int) (out string) {
 	t.Helper()
 	send(t, c, cmd)
 	for range lines {
--- a/internal/broker/server/fixture_test.go
+++ b/internal/broker/server/fixture_test.go
@@ -39,7 +39,7 @@
 }
 
 // eventually waits until ok returns true and fails the test if that takes longer than testTimeout.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(testTimeout); !ok(); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
@@ -113,7 +113,7 @@
 
 // fixture is two object stores and a discovery service, with the brokers that a test starts.
 type fixture struct {
-	t               *testing.T
+	t               testing.TB
 	stores          []*fake.ObjectServer
 	nodes           []*fake.RestartableServer // the servers of stores, by index
 	discovery       *fake.Discovery
@@ -121,7 +121,7 @@
 	http            *http.Client
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t testing.TB) *fixture {
 	t.Helper()
 	f := &fixture{t: t, discovery: fake.NewDiscovery()}
 	for range 2 {
@@ -322,13 +322,13 @@
 }
 
 // closeOnCleanup closes c at the end of the test; c may be closed before.
-func closeOnCleanup(t *testing.T, c io.Closer) {
+func closeOnCleanup(t testing.TB, c io.Closer) {
 	t.Helper()
 	t.Cleanup(func() { _ = c.Close() })
 }
 
 // serveBlock runs a block node on a listener until the end of the test.
-func serveBlock(t *testing.T, b *fake.BlockServer, ln net.Listener) {
+func serveBlock(t testing.TB, b *fake.BlockServer, ln net.Listener) {
 	t.Helper()
 	done := make(chan struct{})
 	go func() {
@@ -341,7 +341,7 @@
 	})
 }
 
-func setDeadline(t *testing.T, c net.Conn, at time.Time) {
+func setDeadline(t testing.TB, c net.Conn, at time.Time) {
 	t.Helper()
 	if err := c.SetDeadline(at); err != nil {
 		t.Fatal(err)
@@ -349,7 +349,7 @@
 }
 
 // send writes text to a connection and fails the test if that fails.
-func send(t *testing.T, w io.Writer, text string) {
+func send(t testing.TB, w io.Writer, text string) {
 	t.Helper()
 	if _, err := io.WriteString(w, text); err != nil {
 		t.Fatal(err)
@@ -357,7 +357,7 @@
 }
 
 // signal sends a signal to the process and fails the test if it is not running.
-func (p *brokerProcess) signal(t *testing.T, sig os.Signal) {
+func (p *brokerProcess) signal(t testing.TB, sig os.Signal) {
 	t.Helper()
 	if err := p.cmd.Process.Signal(sig); err != nil {
 		t.Fatal(err)
