Object frontend: a drain answers every request that it has read

Cause: Drain called http.Server.SetKeepAlivesEnabled(false) and Shutdown. net/http's conn.serve returns without calling the handler if Shutdown was called while it read a request; connections that have sent nothing are left open until then. Both calls close connections in the state idle, which holds until the next request's head is read. After a response in a drain the connection is closed with what was read behind the request.

Ruled out: the connection limit (14 connections of 310), drainDeadlinePassed (it answers 503), the head's time limit (10 s).

Fix: package httpserver decides in Read. A connection ends only if it waits for a request and neither net/http nor the system holds a byte of one; each byte that was read reaches the handler. Responses announce the end only if nothing behind their request was read, as net/http would drop it; such a connection ends when its requests are answered. Heads that are incomplete at drain_answer end then. So nothing is read and dropped whatever the order of bytes and drain; what comes later finds unread bytes and a reset, after which the client sends it elsewhere.

--- a/internal/frontend/object/bench_test.go
+++ b/internal/frontend/object/bench_test.go
@@ -15,16 +15,6 @@
 	"poppyarch/internal/timing/clock"
 )
 
-const benchConfig = `{"name":"t","discovery":"127.0.0.1:1",
- "settings":{"balancers":1,"discovery":"ask","zones":["room"],
-  "classes":[{"name":"any","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"retryable"},
-   {"name":"once","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"fragile"}],
-  "policies":[{"name":"basis","shares":1,"value_factor":1,"usual_rate":1000,"floor_rate":1000}],
-  "contract":{"ask_within_ns":10000000000,"cold_from":0.5,"tip_after_ns":50000000,"warm_after_ns":100000000},
-  "limits":{"send_cap":3,"connect_timeout_ns":2000000000},
-  "specifics":{"mean_units":1,"max_units":8,"n_shards":2,"cold_bears":1000,"fair_worth":0.3}},
- "object":{"listen":"127.0.0.1:0","read_class":"any","write_class":"any","complete_class":"once","default_plan":"basis"}}`
-
 // immediateBroker answers each request at once.
 type immediateBroker struct{}
 
@@ -34,7 +24,7 @@
 
 // BenchmarkRequest measures the frontend's part of a GET request on a connection that is kept.
 func BenchmarkRequest(b *testing.B) {
-	cfg, err := config.Parse([]byte(benchConfig), func(string) string { return "" })
+	cfg, err := config.Parse([]byte(testConfig+"}"), func(string) string { return "" })
 	if err != nil {
 		b.Fatal(err)
 	}
--- /dev/null
+++ b/internal/frontend/object/drain_test.go
@@ -0,0 +1,81 @@
+package object
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+// Guards against requests that are read during a drain and closed without an answer because they are the first of their
+// connection.
+func TestDrainAnswersFirstRequestThatArrivesInPieces(t *testing.T) {
+	h := newDrainHarness(t)
+	c := h.dial()
+	c.send(firstRequest[:10])
+	h.startDrain()
+	c.send(firstRequest[10:])
+	c.expectResponse("/art/first")
+	c.expectEnd()
+	h.expectDrained()
+}
+
+// Guards against requests that are closed without an answer because they were read together with the one before them.
+func TestDrainAnswersPipelinedRequests(t *testing.T) {
+	h := newDrainHarness(t)
+	release := h.broker.hold("/art/first")
+	c := h.dial()
+	c.send(firstRequest + secondRequest)
+	<-h.broker.received
+	h.startDrain()
+	close(release)
+	if c.expectResponse("/art/first") {
+		t.Error("the first response announces the end of the connection although a further request was read")
+	}
+	c.expectResponse("/art/second")
+	c.expectEnd()
+	h.expectDrained()
+}
+
+// Guards against a drain that closes a connection as idle while the next request on it is being read.
+func TestDrainAnswersRequestThatIsBeingRead(t *testing.T) {
+	h := newDrainHarness(t)
+	c := h.idleClient()
+	hold := h.holdRequest(c, secondRequest)
+	h.startDrain()
+	close(hold.released)
+	c.expectResponse("/art/second")
+	c.expectEnd()
+	h.expectDrained()
+}
+
+// A drain announces the end of a connection with the response, and ends idle connections in order.
+func TestDrainAnnouncesAndEndsConnections(t *testing.T) {
+	h := newDrainHarness(t)
+	idle := h.idleClient()
+	unused, busy := h.dial(), h.dial()
+	release := h.broker.hold("/art/second")
+	busy.send(secondRequest)
+	<-h.broker.received
+	h.startDrain()
+	unused.expectEnd()
+	idle.expectEnd()
+	close(release)
+	if !busy.expectResponse("/art/second") {
+		t.Error("the response does not announce the end of the connection")
+	}
+	busy.expectEnd()
+	h.expectDrained()
+}
+
+// A request whose head has not arrived by the end of the drain does not delay the drain for longer.
+func TestDrainEndsIncompleteRequestsAtItsDeadline(t *testing.T) {
+	h := newDrainHarness(t)
+	h.server.lim.DrainResponseTime = 100_000
+	c := h.dial()
+	c.send(firstRequest[:10])
+	h.startDrain()
+	if rest, err := io.ReadAll(c.in); err != nil || len(rest) > 0 && !strings.HasPrefix(string(rest), "HTTP/1.1 400 ") {
+		t.Errorf("got %q (%v), want an error or nothing, and the end of the connection", rest, err)
+	}
+	h.expectDrained()
+}
--- /dev/null
+++ b/internal/frontend/object/harness_test.go
@@ -0,0 +1,306 @@
+package object
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"poppyarch/internal/backend/objectstore"
+	"poppyarch/internal/broker/config"
+	"poppyarch/internal/broker/core"
+	"poppyarch/internal/timing/clock"
+)
+
+// testMaxConns is more than the connections of a test.
+const testMaxConns = 8
+
+// testTimeout is how long a test waits for an expected event.
+const testTimeout = 30 * time.Second
+
+const (
+	firstRequest  = "GET /art/first HTTP/1.1\r\nHost: b\r\n\r\n"
+	secondRequest = "GET /art/second HTTP/1.1\r\nHost: b\r\n\r\n"
+)
+
+// minIdleTimeout is longer than all time limits of reads but the one for the next request of a connection.
+const minIdleTimeout = 30 * time.Second
+
+// testConfig lacks its closing brace, so that a test can add keys.
+const testConfig = `{"name":"t","discovery":"127.0.0.1:1",
+ "settings":{"balancers":1,"discovery":"ask","zones":["room"],
+  "classes":[{"name":"any","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"retryable"},
+   {"name":"once","aim_ns":20000000000,"give_up_ns":25000000000,"importance":1,"repeat":"fragile"}],
+  "policies":[{"name":"basis","shares":1,"value_factor":1,"usual_rate":1000,"floor_rate":1000}],
+  "contract":{"ask_within_ns":10000000000,"cold_from":0.5,"tip_after_ns":50000000,"warm_after_ns":100000000},
+  "limits":{"send_cap":3,"connect_timeout_ns":2000000000},
+  "specifics":{"mean_units":1,"max_units":8,"n_shards":2,"cold_bears":1000,"fair_worth":0.3}},
+ "object":{"listen":"127.0.0.1:0","read_class":"any","write_class":"any","complete_class":"once","default_plan":"basis"}`
+
+// drainTuning has a short time to the end of idle connections, and a deadline that no test reaches by chance.
+const drainTuning = `,"tuning":{"drain_accept":1000,"drain_answer":60000000,"client_stall":1000}`
+
+// fakeBroker answers each request with its target. Requests of held targets wait until they are released.
+type fakeBroker struct {
+	received chan string // targets
+	mu       sync.Mutex
+	held     map[string]chan struct{}
+}
+
+func newFakeBroker() *fakeBroker {
+	return &fakeBroker{received: make(chan string, 16), held: map[string]chan struct{}{}}
+}
+
+// hold makes requests of a target wait until the channel is closed.
+func (b *fakeBroker) hold(target string) chan struct{} {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.held[target] = make(chan struct{})
+	return b.held[target]
+}
+
+func (b *fakeBroker) Handle(ctx context.Context, r core.Request[*objectstore.Request]) core.Response[*objectstore.Response] {
+	b.received <- r.Work.Target
+	b.mu.Lock()
+	released := b.held[r.Work.Target]
+	b.mu.Unlock()
+	if released != nil {
+		select {
+		case <-released:
+		case <-ctx.Done():
+			return core.Response[*objectstore.Response]{Status: core.Failure}
+		}
+	}
+	return core.Response[*objectstore.Response]{Value: &objectstore.Response{
+		Status: http.StatusOK,
+		Header: http.Header{},
+		Body:   []byte(r.Work.Target),
+	}}
+}
+
+// heldListener wraps the connections that it accepts, and reports what the server does with them.
+type heldListener struct {
+	net.Listener
+	hold        chan *readHold // each is armed on all connections
+	idle        chan struct{}  // receives a value when the server waits for the next request of a connection
+	interrupted chan struct{}  // receives a value when the server closes a connection or ends a read of it
+}
+
+func newHeldListener(ln net.Listener) *heldListener {
+	const events = 64 // more than a test causes
+	return &heldListener{ln, make(chan *readHold, 1), make(chan struct{}, events), make(chan struct{}, events)}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
+}
+
+// readHold holds the first read that returns bytes after it was armed.
+type readHold struct {
+	holding  chan struct{} // closed when the bytes have been read
+	released chan struct{} // closed by the test
+}
+
+// heldConn delays the return of reads, so that a test can act after bytes were read and before the server uses them.
+type heldConn struct {
+	*net.TCPConn
+	listener *heldListener
+}
+
+func (c *heldConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	select {
+	case h := <-c.listener.hold:
+		close(h.holding)
+		<-h.released
+	default:
+	}
+	return n, err
+}
+
+func (c *heldConn) SetReadDeadline(t time.Time) error {
+	err := c.TCPConn.SetReadDeadline(t)
+	switch left := time.Until(t); {
+	case t.IsZero():
+	case left < 0:
+		c.listener.interrupted <- struct{}{}
+	case left > minIdleTimeout:
+		c.listener.idle <- struct{}{}
+	}
+	return err
+}
+
+func (c *heldConn) Close() error {
+	err := c.TCPConn.Close()
+	c.listener.interrupted <- struct{}{}
+	return err
+}
+
+// drainHarness is a server on a loopback listener that passes requests to a fake broker.
+type drainHarness struct {
+	t        *testing.T
+	server   *Server
+	broker   *fakeBroker
+	listener *heldListener
+	drained  chan error
+}
+
+func newDrainHarness(t *testing.T) *drainHarness {
+	t.Helper()
+	cfg, err := config.Parse([]byte(testConfig+drainTuning+"}"), func(string) string { return "" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &drainHarness{
+		t:        t,
+		broker:   newFakeBroker(),
+		listener: newHeldListener(ln),
+		drained:  make(chan error, 1),
+	}
+	h.server = New(h.broker, cfg, testMaxConns, clock.New(), slog.New(slog.DiscardHandler))
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := h.server.Serve(h.listener); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = h.server.Drain(ctx) // returns the error of ctx if the test has left connections open
+		<-served
+	})
+	return h
+}
+
+// client is a client connection.
+type client struct {
+	net.Conn
+	t  *testing.T
+	in *bufio.Reader
+}
+
+func (h *drainHarness) dial() *client {
+	h.t.Helper()
+	nc, err := net.Dial("tcp", h.listener.Addr().String())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { _ = nc.Close() })
+	if err := nc.SetDeadline(time.Now().Add(testTimeout)); err != nil {
+		h.t.Fatal(err)
+	}
+	return &client{nc, h.t, bufio.NewReader(nc)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// expectResponse reads a response, fails the test unless it answers the target, and returns whether it announces the
+// end of the connection.
+func (c *client) expectResponse(target string) (lastOne bool) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		c.t.Fatalf("%s: no response: %v", target, err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || string(body) != target || resp.StatusCode != http.StatusOK {
+		c.t.Fatalf("%s: status %d, body %q, error %v", target, resp.StatusCode, body, err)
+	}
+	return resp.Close
+}
+
+// expectEnd fails the test unless the server has ended the connection in order.
+func (c *client) expectEnd() {
+	c.t.Helper()
+	if rest, err := io.ReadAll(c.in); err != nil || len(rest) > 0 {
+		c.t.Fatalf("got %q (%v), want the end of the connection", rest, err)
+	}
+}
+
+// roundTrip sends a request and receives its response.
+func (c *client) roundTrip() {
+	c.t.Helper()
+	c.send(firstRequest)
+	c.expectResponse("/art/first")
+}
+
+// holdRequest makes a client send a request on a connection that waits for one, and holds it when it has been read.
+func (h *drainHarness) holdRequest(c *client, request string) *readHold {
+	h.t.Helper()
+	hold := &readHold{make(chan struct{}), make(chan struct{})}
+	h.listener.hold <- hold
+	c.send(request)
+	<-hold.holding
+	return hold
+}
+
+// idleClient returns a client whose first request has been answered and whose connection waits for the next one.
+func (h *drainHarness) idleClient() *client {
+	h.t.Helper()
+	c := h.dial()
+	c.roundTrip()
+	<-h.broker.received
+	<-h.listener.idle
+	for len(h.listener.interrupted) > 0 {
+		<-h.listener.interrupted // net/http ends its own read that watches for a disconnect
+	}
+	return c
+}
+
+// startDrain starts the drain and returns once the server accepts no more clients.
+func (h *drainHarness) startDrain() {
+	h.t.Helper()
+	go func() { h.drained <- h.server.Drain(context.Background()) }()
+	eventually(h.t, "the listener is closed", func() bool {
+		c, err := net.Dial("tcp", h.listener.Addr().String())
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+}
+
+// expectDrained fails the test unless Drain returns nil.
+func (h *drainHarness) expectDrained() {
+	h.t.Helper()
+	select {
+	case err := <-h.drained:
+		if err != nil {
+			h.t.Error(err)
+		}
+	case <-time.After(testTimeout):
+		h.t.Fatal("Drain has not returned")
+	}
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until %s", what)
+		}
+	}
+}
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -18,6 +17,8 @@
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/limits"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/transport/httpserver"
+	"poppyarch/internal/transport/socket"
 )
 
 // healthPath is the path of health checks, which are answered without a request to the broker.
@@ -30,13 +31,12 @@
 
 // Server serves the object API.
 type Server struct {
-	broker   Broker
-	cfg      *config.Config
-	clock    *clock.Clock
-	lim      *limits.Limits
-	log      *slog.Logger
-	http     *http.Server
-	maxConns int // maximum number of client connections
+	broker Broker
+	cfg    *config.Config
+	clock  *clock.Clock
+	lim    *limits.Limits
+	log    *slog.Logger
+	http   *httpserver.Server
 
 	lastID    atomic.Uint64 // last number used in a request id
 	bodyBytes atomic.Int64  // size of the request bodies in flight
@@ -49,53 +49,44 @@
 // New returns a server for at most maxConns simultaneous clients.
 func New(b Broker, cfg *config.Config, maxConns int, c *clock.Clock, log *slog.Logger) *Server {
 	s := &Server{
-		broker:   b,
-		cfg:      cfg,
-		clock:    c,
-		lim:      &cfg.Limits,
-		log:      log,
-		maxConns: maxConns,
+		broker: b,
+		cfg:    cfg,
+		clock:  c,
+		lim:    &cfg.Limits,
+		log:    log,
 	}
 	s.base, s.expire = context.WithCancel(context.Background())
-	s.http = &http.Server{
+	s.http = httpserver.New(&http.Server{
 		Handler:           s,
 		MaxHeaderBytes:    s.lim.MaxHeaderBytes,
 		ReadHeaderTimeout: clock.Duration(s.lim.ObjectStallTimeout),
 		IdleTimeout:       clock.Duration(s.lim.ObjectIdleTimeout),
-		ConnContext:       withConn,
-		ConnState:         recordConnState,
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-	}
+	}, httpserver.Options{MaxConns: maxConns, UnusedTimeout: s.lim.ClientStallTimeout}, c)
 	return s
 }
 
 // Serve accepts clients until the listener fails or Drain is called. After Drain it returns nil.
-func (s *Server) Serve(ln net.Listener) error {
-	err := s.http.Serve(newListener(ln, s.maxConns, s.lim.ClientStallTimeout, s.clock))
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
 
 // Drain shuts the server down gracefully. It continues to accept clients for Limits.DrainAcceptTime, then closes idle
-// connections, and returns when all requests have been answered. Requests whose response has not begun are answered
-// within Limits.DrainResponseTime of the call, because the process may be killed after that. If ctx is done earlier,
-// all connections are closed and its error is returned.
+// connections, and returns when all requests have been answered. A request that has been read is always answered, also
+// the first one of its connection. Requests whose response has not begun are answered within Limits.DrainResponseTime
+// of the call, because the process may be killed after that; those that have not arrived completely by then end with
+// their connections. If ctx is done earlier, all connections are closed and its error is returned.
 func (s *Server) Drain(ctx context.Context) error {
 	s.drainDeadline.Store(s.clock.Now() + s.lim.DrainResponseTime)
-	expiry := time.AfterFunc(clock.Duration(s.lim.DrainResponseTime), s.expire)
+	expiry := time.AfterFunc(clock.Duration(s.lim.DrainResponseTime), func() {
+		s.expire()
+		s.http.ExpireIncomplete()
+	})
 	defer expiry.Stop()
-	s.http.SetKeepAlivesEnabled(false)
+	s.http.AnnounceDrain()
 	select {
 	case <-time.After(clock.Duration(s.lim.DrainAcceptTime)):
 	case <-ctx.Done():
 	}
-	if err := s.http.Shutdown(ctx); err != nil {
-		_ = s.http.Close() // the error of Shutdown is more specific
-		return err
-	}
-	return nil
+	return s.http.Drain(ctx)
 }
 
 // drainDeadlinePassed reports whether the drain deadline has passed, after which no request is executed.
@@ -125,6 +116,17 @@
 	writeError(w, r, x.id, err)
 }
 
+// clientDisconnected returns a function that reports whether a request's client has disconnected, or nil if the
+// connection is not known. The HTTP server itself detects a disconnect only after it has read the request's body, and
+// not if more input follows the body.
+func clientDisconnected(ctx context.Context) func() bool {
+	c, ok := httpserver.ConnOf(ctx)
+	if !ok {
+		return nil
+	}
+	return func() bool { return socket.PeerClosed(c) }
+}
+
 // newExchange returns the exchange for a request that has just arrived.
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	now := s.clock.Now()
