Object frontend: making room for a client no longer drops a request that is being read

Callers could see: with all connections in use, the end of a kept connection in place of the answer to a request sent on it.

The listener took a connection in the state idle whose socket had no unread bytes and closed it. What net/http had read already is not in the socket, and the state stays idle until the head is parsed.

Evidence: TestEvictionAnswersRequestThatIsBeingRead holds the connection's Read after it has taken the request, lets a new client come, and releases the read once the server has acted on the connection.

Fix: the connection is asked to end as in a drain; its reader ends it if nothing has arrived, or keeps it and wakes the listener, which chooses again. Ruled out: looking at the socket once more before the close, as the read can fall between any two looks.

--- a/internal/frontend/object/drain_test.go
+++ b/internal/frontend/object/drain_test.go
@@ -9,7 +9,7 @@
 // Guards against requests that are read during a drain and closed without an answer because they are the first of their
 // connection.
 func TestDrainAnswersFirstRequestThatArrivesInPieces(t *testing.T) {
-	h := newDrainHarness(t)
+	h := newDrainHarness(t, 8)
 	c := h.dial()
 	c.send(firstRequest[:10])
 	h.startDrain()
@@ -21,7 +21,7 @@
 
 // Guards against requests that are closed without an answer because they were read together with the one before them.
 func TestDrainAnswersPipelinedRequests(t *testing.T) {
-	h := newDrainHarness(t)
+	h := newDrainHarness(t, 8)
 	release := h.broker.hold("/art/first")
 	c := h.dial()
 	c.send(firstRequest + secondRequest)
@@ -38,7 +38,7 @@
 
 // Guards against a drain that closes a connection as idle while the next request on it is being read.
 func TestDrainAnswersRequestThatIsBeingRead(t *testing.T) {
-	h := newDrainHarness(t)
+	h := newDrainHarness(t, 8)
 	c := h.idleClient()
 	hold := h.holdRequest(c, secondRequest)
 	h.startDrain()
@@ -48,9 +48,35 @@
 	h.expectDrained()
 }
 
+// Guards against the connection limit closing a connection as idle while the next request on it is being read.
+func TestEvictionAnswersRequestThatIsBeingRead(t *testing.T) {
+	h := newDrainHarness(t, 1)
+	c := h.idleClient()
+	hold := h.holdRequest(c, secondRequest)
+	next := h.dial()
+	next.send(firstRequest)
+	<-h.listener.interrupted
+	close(hold.released)
+	c.expectResponse("/art/second")
+	c.expectEnd()
+	next.expectResponse("/art/first")
+}
+
+// A connection whose client stops within a request is closed for a new client even if bytes of that request arrive while
+// it is being closed.
+func TestEvictionIsRepeatedForAnIncompleteRequest(t *testing.T) {
+	h := newDrainHarness(t, 1)
+	hold := h.holdRequest(h.idleClient(), secondRequest[:10])
+	next := h.dial()
+	next.send(firstRequest)
+	<-h.listener.interrupted
+	close(hold.released)
+	next.expectResponse("/art/first")
+}
+
 // A drain announces the end of a connection with the response, and ends idle connections in order.
 func TestDrainAnnouncesAndEndsConnections(t *testing.T) {
-	h := newDrainHarness(t)
+	h := newDrainHarness(t, 8)
 	idle := h.idleClient()
 	unused, busy := h.dial(), h.dial()
 	release := h.broker.hold("/art/second")
@@ -69,7 +95,7 @@
 
 // A request whose head has not arrived by the end of the drain does not delay the drain for longer.
 func TestDrainEndsIncompleteRequestsAtItsDeadline(t *testing.T) {
-	h := newDrainHarness(t)
+	h := newDrainHarness(t, 8)
 	h.server.lim.DrainResponseTime = 100_000
 	c := h.dial()
 	c.send(firstRequest[:10])
--- a/internal/frontend/object/harness_test.go
+++ b/internal/frontend/object/harness_test.go
@@ -17,9 +17,6 @@
 	"poppyarch/internal/timing/clock"
 )
 
-// testMaxConns is more than the connections of a test.
-const testMaxConns = 8
-
 // testTimeout is how long a test waits for an expected event.
 const testTimeout = 30 * time.Second
 
@@ -157,7 +154,7 @@
 	drained  chan error
 }
 
-func newDrainHarness(t *testing.T) *drainHarness {
+func newDrainHarness(t *testing.T, maxConns int) *drainHarness {
 	t.Helper()
 	cfg, err := config.Parse([]byte(testConfig+drainTuning+"}"), func(string) string { return "" })
 	if err != nil {
@@ -173,7 +170,7 @@
 		listener: newHeldListener(ln),
 		drained:  make(chan error, 1),
 	}
-	h.server = New(h.broker, cfg, testMaxConns, clock.New(), slog.New(slog.DiscardHandler))
+	h.server = New(h.broker, cfg, maxConns, clock.New(), slog.New(slog.DiscardHandler))
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -29,9 +29,11 @@
 
 	mu           sync.Mutex // may be locked while the server's mu is held, not the other way round
 	mode         endMode
+	evicted      bool      // to be closed for another client, unless a request arrives
 	busy         bool      // a request has been read completely, up to its body, and is not answered yet
 	requestBegun bool      // part of the next request has been read
 	readDeadline time.Time // as net/http has set it
+	interrupted  bool      // pastDeadline is in force in place of readDeadline
 	input        requestInput
 }
 
@@ -52,24 +54,32 @@
 func (c *conn) readArrived(b []byte, timeout error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.mustEnd() || socket.Peek(c.Conn) != socket.Readable {
+	if !c.interrupted || socket.Peek(c.Conn) != socket.Readable {
 		return 0, timeout
 	}
+	c.interrupted = false
 	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
 		return 0, err
 	}
-	return c.Conn.Read(b) // does not block
+	n, err := c.Conn.Read(b) // does not block
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	return n, err
 }
 
-// recordRead records bytes that net/http has read.
+// recordRead records bytes that net/http has read. A connection that was to be evicted is kept for them.
 func (c *conn) recordRead(b []byte) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy && !c.requestBegun {
+	keep := c.evicted && !c.busy
+	if !c.busy && (!c.requestBegun || keep) {
 		c.requestBegun = true
+		c.evicted = false
 		c.updateReadDeadline()
 	}
 	c.input.read(b)
+	c.mu.Unlock()
+	if keep {
+		c.server.notify() // another connection may have to be evicted
+	}
 }
 
 // mustEnd reports whether the connection ends unless bytes have arrived. The caller holds mu.
@@ -77,17 +87,19 @@
 	if c.busy {
 		return false
 	}
-	return c.mode >= endIncomplete || c.mode >= endIdle && !c.requestBegun
+	return c.evicted || c.mode >= endIncomplete || c.mode >= endIdle && !c.requestBegun
 }
 
 // updateReadDeadline sets the deadline of the network connection: one in the past if the connection must end, or else
 // that of net/http. It is called when the answer of mustEnd may have changed. The caller holds mu.
 func (c *conn) updateReadDeadline() {
-	if c.mode < endIdle {
+	interrupt := c.mustEnd()
+	if interrupt == c.interrupted {
 		return
 	}
+	c.interrupted = interrupt
 	deadline := c.readDeadline
-	if c.mustEnd() {
+	if interrupt {
 		deadline = pastDeadline
 	}
 	_ = c.Conn.SetReadDeadline(deadline) // fails only on a closed connection, whose reads fail too
@@ -98,7 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeadline = t
-	if c.mustEnd() {
+	if c.interrupted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -117,6 +129,20 @@
 	c.updateReadDeadline()
 }
 
+// evict makes the connection end unless bytes of a request have arrived.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.evicted = true
+	c.updateReadDeadline()
+}
+
+func (c *conn) isEvicted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evicted
+}
+
 // setBusy records that the head of a request has been read, or that its response has been sent.
 func (c *conn) setBusy(busy bool) {
 	c.mu.Lock()
@@ -126,6 +152,7 @@
 	}
 	c.busy = busy
 	c.requestBegun = false
+	c.evicted = false
 	c.updateReadDeadline()
 }
 
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -33,13 +33,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.opts.MaxConns > 0 && len(s.conns) >= s.opts.MaxConns && !s.stopped {
-		idle := s.longestIdle()
-		if idle == nil {
-			s.changed.Wait()
-			continue
+		if idle := s.longestIdle(); idle != nil {
+			idle.evict()
 		}
-		delete(s.conns, idle)
-		_ = idle.Close() // the client may have closed it already
+		s.changed.Wait()
 	}
 	if s.stopped {
 		return nil
@@ -49,7 +46,7 @@
 	return c
 }
 
-// longestIdle returns the connection that has been idle for longest, or nil if all are busy. A
+// longestIdle returns the connection that has been idle for longest, or nil if all are busy or about to end. A
 // connection with unread input is about to carry a request and does not count as idle. The caller holds mu.
 func (s *Server) longestIdle() *conn {
 	var longest *conn
@@ -62,7 +59,7 @@
 		if longest != nil && c.stateSince >= longest.stateSince {
 			continue
 		}
-		if socket.Peek(c.Conn) != socket.Readable {
+		if !c.isEvicted() && socket.Peek(c.Conn) != socket.Readable {
 			longest = c
 		}
 	}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -24,7 +24,7 @@
 	UnusedTimeout clock.Micros
 }
 
-// endMode tells which connections end. Each mode includes the ones before it.
+// endMode tells which connections end, apart from those that are evicted. Each mode includes the ones before it.
 type endMode uint8
 
 const (
