Control endpoint: calls in progress are answered when the broker ends

Callers saw: the end of the connection in place of the answer to a call that was being read, or to a change that had been applied.

Cause: Serve called http.Server.Close when its context was done, which closes every connection whatever it carries.

Ruled out: that the listener's backlog held the connection, by an answered call before it (a first form of the test without it failed for that reason).

Fix: httpserver.Server.ServeUntil stops accepting, ends idle connections, answers what has been read, and closes the rest after 1 s. The process waits for it, as it did for the close; without calls it takes no time.

The tests of the object frontend now wait until their connections are accepted; on a slow machine the drain could have come first.

--- a/internal/broker/control/server.go
+++ b/internal/broker/control/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -12,6 +11,8 @@
 	"time"
 
 	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/transport/httpserver"
 )
 
 // Broker is the running broker that a Server controls.
@@ -165,11 +166,13 @@
 	writeTimeout      = 10 * time.Second
 	idleTimeout       = 30 * time.Second
 	maxHeaderBytes    = 16 << 10
+	drainTimeout      = time.Second // for the responses to requests in progress when the endpoint ends
 )
 
-// Serve serves the endpoint on ln until ctx is done; it then closes ln and all connections.
+// Serve serves the endpoint on ln until ctx is done; it then closes ln, answers the requests that have been read, for at
+// most drainTimeout, and closes all connections.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
-	srv := &http.Server{
+	srv := httpserver.New(&http.Server{
 		Handler:           s.Handler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		ReadTimeout:       readTimeout,
@@ -177,12 +180,8 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
-	}
-	stop := context.AfterFunc(ctx, func() {
-		_ = srv.Close() // the process is ending; no caller could use the error
-	})
-	defer stop()
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+	}, httpserver.Options{}, clock.New())
+	if err := srv.ServeUntil(ctx, ln, drainTimeout); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
 	return nil
--- a/internal/broker/control/server_test.go
+++ b/internal/broker/control/server_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"poppyarch/internal/fleet/spec"
+	"poppyarch/internal/testkit/fake"
 )
 
 // fakeBroker counts the changes applied.
@@ -125,3 +126,23 @@
 		}
 	}
 }
+
+// Guards against calls that get no answer because the endpoint ends while it reads them.
+func TestEndpointAnswersCallThatArrivesWhileItEnds(t *testing.T) {
+	s := NewServer("n1", "b1", "d1", &fakeBroker{}, slog.New(slog.DiscardHandler))
+	path := filepath.Join(t.TempDir(), "c")
+	ln, err := Listen("unix:" + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, ln) }()
+	resp, body, err := fake.CallAcrossStop("unix", path, "GET /v1/state HTTP/1.1\r\nHost: b\r\n\r\n", stop)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("got %v, body %q, error %v", resp, body, err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/frontend/object/harness_test.go
+++ b/internal/frontend/object/harness_test.go
@@ -83,6 +83,7 @@
 // heldListener wraps the connections that it accepts, and reports what the server does with them.
 type heldListener struct {
 	net.Listener
+	accepted    chan struct{}  // receives a value for each connection
 	hold        chan *readHold // each is armed on all connections
 	idle        chan struct{}  // receives a value when the server waits for the next request of a connection
 	interrupted chan struct{}  // receives a value when the server closes a connection or ends a read of it
@@ -90,7 +91,13 @@
 
 func newHeldListener(ln net.Listener) *heldListener {
 	const events = 64 // more than a test causes
-	return &heldListener{ln, make(chan *readHold, 1), make(chan struct{}, events), make(chan struct{}, events)}
+	return &heldListener{
+		Listener:    ln,
+		accepted:    make(chan struct{}, events),
+		hold:        make(chan *readHold, 1),
+		idle:        make(chan struct{}, events),
+		interrupted: make(chan struct{}, events),
+	}
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
@@ -98,9 +105,18 @@
 	if err != nil {
 		return nil, err
 	}
+	signal(l.accepted)
 	return &heldConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
 }
 
+// signal sends to a channel that no test lets fill up, except while it waits for the end of a listener.
+func signal(events chan struct{}) {
+	select {
+	case events <- struct{}{}:
+	default:
+	}
+}
+
 // readHold holds the first read that returns bytes after it was armed.
 type readHold struct {
 	holding  chan struct{} // closed when the bytes have been read
@@ -132,16 +148,16 @@
 	switch left := time.Until(t); {
 	case t.IsZero():
 	case left < 0:
-		c.listener.interrupted <- struct{}{}
+		signal(c.listener.interrupted)
 	case left > minIdleTimeout:
-		c.listener.idle <- struct{}{}
+		signal(c.listener.idle)
 	}
 	return err
 }
 
 func (c *heldConn) Close() error {
 	err := c.TCPConn.Close()
-	c.listener.interrupted <- struct{}{}
+	signal(c.listener.interrupted)
 	return err
 }
 
@@ -194,6 +210,7 @@
 	in *bufio.Reader
 }
 
+// dial returns a client whose connection the server has accepted.
 func (h *drainHarness) dial() *client {
 	h.t.Helper()
 	nc, err := net.Dial("tcp", h.listener.Addr().String())
@@ -201,6 +218,7 @@
 		h.t.Fatal(err)
 	}
 	h.t.Cleanup(func() { _ = nc.Close() })
+	<-h.listener.accepted
 	if err := nc.SetDeadline(time.Now().Add(testTimeout)); err != nil {
 		h.t.Fatal(err)
 	}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"poppyarch/internal/timing/clock"
 )
@@ -78,6 +79,23 @@
 	return err
 }
 
+// ServeUntil serves clients until ctx is done and then drains for at most drainTimeout. It returns an error if the
+// listener fails before that.
+func (s *Server) ServeUntil(ctx context.Context, ln net.Listener, drainTimeout time.Duration) error {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
+	defer cancel()
+	s.AnnounceDrain()
+	_ = s.Drain(drainCtx) // after the time-out all connections are closed
+	return <-served
+}
+
 // AnnounceDrain makes all following responses tell their clients that the connection ends, unless part of a further
 // request has been read from it.
 func (s *Server) AnnounceDrain() { s.endConns(endAnswered) }
