Fleet manager: commands in progress are answered when it stops

A long poll would take up the second that it waits, so the calls' contexts end with the manager and a poll is answered with 503 without a code of the API, which clients of any version take for ErrUnavailable and repeat, as they did with the end of the connection; the code for invalid requests, which such an error had by default, would have ended them (TestManagerEndsLongPollsWhenItStops). Other errors of a stopping manager keep their codes.

--- a/internal/fleet/manager/handler.go
+++ b/internal/fleet/manager/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -58,6 +59,10 @@
 			return
 		}
 		out, err := call(r.Context(), in)
+		if errors.Is(err, context.Canceled) {
+			writeUnavailable(w)
+			return
+		}
 		if err != nil {
 			writeError(w, err)
 			return
@@ -81,6 +86,12 @@
 	writeResponse(w, status, response)
 }
 
+// writeUnavailable answers a call that was waiting when the manager stopped. The response has no code, so that the
+// caller's client treats it as api.ErrUnavailable and calls again.
+func writeUnavailable(w http.ResponseWriter) {
+	http.Error(w, "the manager is stopping", http.StatusServiceUnavailable)
+}
+
 func writeResponse(w http.ResponseWriter, status int, response any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
