Agent of one machine: calls in progress are answered when it ends

Callers saw: an unexpected end of the connection for a call that the agent was reading when it was told to end.

These lines stood in cmd, where no test reached them; they are agent.Serve now.

--- a/cmd/poppyarch/agent.go
+++ b/cmd/poppyarch/agent.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"syscall"
-	"time"
 
 	"github.com/spf13/cobra"
 
@@ -20,9 +18,6 @@
 // agentSocket is the name of the agent's socket in its run directory.
 const agentSocket = "agent.sock"
 
-// agentHeaderTimeout bounds how long a caller of the agent may take to send the header of its request.
-const agentHeaderTimeout = 10 * time.Second
-
 // agentFlags are the flags of the agent command.
 type agentFlags struct {
 	inventory string
@@ -74,22 +69,20 @@
 	if _, err := a.Reload(ctx); err != nil {
 		return &exitError{exitUsage, err}
 	}
-	server := &http.Server{Handler: agent.Handler(a), ReadHeaderTimeout: agentHeaderTimeout}
-	defer func() { _ = server.Close() }() // the process is about to exit; open requests are cut off
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	served := make(chan error, 1)
+	go func() { served <- agent.Serve(ctx, listener, a) }()
 	log.Info("agent: listening", "socket", listener.Addr().String())
-	return followSignals(ctx, a, hangups, failed, log)
+	return followSignals(ctx, a, hangups, served, log)
 }
 
-// followSignals reloads the inventory on each SIGHUP until ctx is done or the server has failed.
-func followSignals(ctx context.Context, a *agent.Agent, hangups <-chan os.Signal, failed <-chan error, log *slog.Logger) error {
+// followSignals reloads the inventory on each SIGHUP until the server has ended, because ctx is done or it has failed.
+func followSignals(ctx context.Context, a *agent.Agent, hangups <-chan os.Signal, served <-chan error, log *slog.Logger) error {
 	for {
 		select {
-		case <-ctx.Done():
-			log.Info("agent: draining all instances")
-			return nil
-		case err := <-failed:
+		case err := <-served:
+			if ctx.Err() != nil {
+				log.Info("agent: draining all instances")
+			}
 			return err
 		case <-hangups:
 			if _, err := a.Reload(ctx); err != nil {
