Block frontend: requests reach the module in the order of a connection's commands

Cause: startRequest handed each command to a goroutine of its own, and core.Broker.Handle submitted the request there. Go runs the goroutine that was started last first.

Ruled out: the parser (it reads in order), the module's queue per key (it keeps the order that it is given, also in a test of the dispatcher), the pool (one request of a key is out at a time).

Fix: core.Broker.Submit admits and submits without waiting, and is called by the connection's reader; Wait makes the attempts. As Submit is one critical section of the dispatcher, two requests of a connection cannot change places on their way to the module. Looked for elsewhere: the object frontend submits in the one goroutine of a connection; control changes and fleet commands are under one lock with a revision or an id; a fleet agent has one call to a broker in flight. None starts a goroutine before its order.

--- a/internal/broker/core/broker.go
+++ b/internal/broker/core/broker.go
@@ -40,44 +40,61 @@
 // SetRecorder makes the broker record every request with r. It must be called before Handle.
 func (b *Broker[W, V]) SetRecorder(r *record.Recorder) { b.recorder = r }
 
+// Pending is a submitted request. Wait must be called once; it returns the final response before the request's
+// deadline. If ctx is done earlier, the client has disconnected and the response is not sent.
+type Pending[V any] interface {
+	Wait(ctx context.Context) Response[V]
+}
+
 // Handle processes a request and returns its final response before its deadline. If ctx is done earlier, the client has
 // disconnected and the response is not sent.
 func (b *Broker[W, V]) Handle(ctx context.Context, r Request[W]) Response[V] {
-	if b.recorder == nil {
-		return b.handle(ctx, r, nil)
+	return b.Submit(r).Wait(ctx)
+}
+
+// Submit passes a request to the decision module, or rejects it at the limit of requests in flight. It does not block on
+// decisions. Requests are executed in the order of the calls where their classes are ordered, so a frontend must call
+// Submit in the order in which it has received the requests.
+func (b *Broker[W, V]) Submit(r Request[W]) Pending[V] {
+	e := &execution[W, V]{broker: b, request: r, deadline: r.Deadline - b.lim.ResponseMargin}
+	if b.recorder != nil {
+		e.trace = newTrace(b.clock, &r.RequestInfo)
+	}
+	e.admitted = b.limiter.Acquire()
+	if e.admitted {
+		e.submitted = b.dispatcher.Submit(r.RequestInfo)
+	}
+	return e
+}
+
+// Wait implements Pending.
+func (e *execution[W, V]) Wait(ctx context.Context) Response[V] {
+	resp := e.execute(ctx)
+	if e.trace != nil {
+		e.trace.finish(e.broker.recorder, recordedResult(ctx, resp.Status, resp.DeadlineExceeded), resp.RetryAfter)
 	}
-	t := newTrace(b.clock, &r.RequestInfo)
-	resp := b.handle(ctx, r, t)
-	t.finish(b.recorder, recordedResult(ctx, resp.Status, resp.DeadlineExceeded), resp.RetryAfter)
 	return resp
 }
 
-// handle is Handle without recording. It adds the request's attempts to t, unless t is nil.
-func (b *Broker[W, V]) handle(ctx context.Context, r Request[W], t *trace) Response[V] {
-	if !b.limiter.Acquire() {
+// execute makes the attempts that the dispatcher decides on.
+func (e *execution[W, V]) execute(ctx context.Context) Response[V] {
+	b := e.broker
+	if !e.admitted {
 		return Response[V]{Status: Rejection, RetryAfter: b.lim.BusyRetryAfter}
 	}
 	defer b.limiter.Release()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	deadline := r.Deadline - b.lim.ResponseMargin
-	expiry := time.AfterFunc(clock.Duration(deadline-b.clock.Now()), func() { cancel(ErrDeadlineExceeded) })
-	defer expiry.Stop()
-
-	id, d := b.dispatcher.Submit(ctx, r.RequestInfo)
-	e := &execution[W, V]{
-		broker:   b,
-		request:  r,
-		id:       id,
-		deadline: deadline,
-		expiry:   expiry,
-		cancel:   cancel,
-	}
+	e.cancel = cancel
+	e.expiry = time.AfterFunc(clock.Duration(e.deadline-b.clock.Now()), func() { cancel(ErrDeadlineExceeded) })
+	defer e.expiry.Stop()
+
+	d := b.dispatcher.Await(ctx, e.submitted)
 	for number := 0; d.Verdict == dispatcher.Forward; number++ {
-		startedAt := t.now()
+		startedAt := e.trace.now()
 		value, outcome := e.attempt(ctx, d, number)
-		t.addAttempt(d.Node, startedAt, outcome)
-		d = b.dispatcher.Report(ctx, id, outcome)
+		e.trace.addAttempt(d.Node, startedAt, outcome)
+		d = b.dispatcher.Report(ctx, e.submitted.ID, outcome)
 		if outcome == Served {
 			return Response[V]{Status: Success, Value: value}
 		}
@@ -103,14 +120,18 @@
 	return Response[V]{Status: Failure}
 }
 
-// execution is a request while its attempts are made.
+// execution is a request from Submit until its final response.
 type execution[W, V any] struct {
-	broker   *Broker[W, V]
-	request  Request[W]
-	id       uint64 // id of the request at the dispatcher
-	deadline clock.Micros
-	expiry   *time.Timer // cancels the request at its deadline
-	cancel   context.CancelCauseFunc
+	broker    *Broker[W, V]
+	request   Request[W]
+	trace     *trace // nil if requests are not recorded
+	admitted  bool   // the limit of requests in flight was not reached
+	submitted dispatcher.Submitted
+	deadline  clock.Micros
+
+	// Set by execute.
+	expiry *time.Timer // cancels the request at its deadline
+	cancel context.CancelCauseFunc
 }
 
 // attempt makes one attempt as the dispatcher has decided, unless the node has been removed from the endpoint list.
@@ -150,5 +171,5 @@
 // which does not apply to a response that has started.
 func (e *execution[W, V]) responseStarted() {
 	e.expiry.Stop()
-	e.broker.dispatcher.ResponseStarted(e.id)
+	e.broker.dispatcher.ResponseStarted(e.submitted.ID)
 }
--- a/internal/broker/dispatcher/dispatcher.go
+++ b/internal/broker/dispatcher/dispatcher.go
@@ -1,5 +1,5 @@
-// Package dispatcher provides a blocking interface to the decision module (package policy). Callers submit requests
-// and report outcomes, and do not handle the module's events and actions.
+// Package dispatcher provides a blocking interface to the decision module (package policy). Callers submit requests,
+// await decisions and report outcomes, and do not handle the module's events and actions.
 //
 // Any number of goroutines may call the methods of a Dispatcher other than Tick. Only one goroutine may call Tick, and
 // only Tick uses the scheduler.
@@ -94,13 +94,20 @@
 // WatchRequested signals that the module requested a watch of the endpoint list, for the first time or after a failure.
 func (d *Dispatcher) WatchRequested() <-chan struct{} { return d.watchRequested }
 
-// Submit submits a request and blocks until the module has decided on it or ctx is done. The id identifies the request
-// in calls of Report and ResponseStarted.
-func (d *Dispatcher) Submit(ctx context.Context, r RequestInfo) (id uint64, next Decision) {
+// Submitted is a request that has been submitted. ID identifies it in calls of Report and ResponseStarted.
+type Submitted struct {
+	ID   uint64
+	call *call
+}
+
+// Submit submits a request. The module gets the requests in the order of the calls, in which it executes those of
+// ordered classes. Await must be called for each.
+func (d *Dispatcher) Submit(r RequestInfo) Submitted {
 	c := &call{decision: make(chan Decision, 1)}
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.lastID++
-	id = d.lastID
+	id := d.lastID
 	d.calls[id] = c
 	d.push(decision.Event{Kind: decision.RequestArrived, ID: id, Arrival: decision.Arrival{
 		Class:    r.Class,
@@ -112,8 +119,12 @@
 		Brokers:  r.Brokers,
 		Deadline: clock.Duration(r.Deadline),
 	}})
-	d.mu.Unlock()
-	return id, d.await(ctx, id, c)
+	return Submitted{ID: id, call: c}
+}
+
+// Await blocks until the module has decided on a submitted request or ctx is done.
+func (d *Dispatcher) Await(ctx context.Context, s Submitted) Decision {
+	return d.await(ctx, s.ID, s.call)
 }
 
 // Report reports the outcome of the request's last attempt and blocks until the module has decided what to do next.
--- a/internal/broker/dispatcher/dispatcher_test.go
+++ b/internal/broker/dispatcher/dispatcher_test.go
@@ -15,9 +15,16 @@
 // newDispatcher returns a dispatcher with one node. A goroutine of the synctest bubble calls Tick until ctx is done.
 func newDispatcher(ctx context.Context, t *testing.T, idempotency decision.Idempotency) *Dispatcher {
 	t.Helper()
-	class := decision.Class{
-		Name: "c", LatencyObjective: 2 * time.Second, Deadline: 4 * time.Second, PriorityWeight: 1, Idempotency: idempotency,
-	}
+	return newDispatcherWithClass(ctx, t, decision.Class{Idempotency: idempotency})
+}
+
+// newDispatcherWithClass is newDispatcher with a class whose order and idempotency are given.
+func newDispatcherWithClass(ctx context.Context, t *testing.T, class decision.Class) *Dispatcher {
+	t.Helper()
+	class.Name = "c"
+	class.LatencyObjective = 2 * time.Second
+	class.Deadline = 4 * time.Second
+	class.PriorityWeight = 1
 	d, err := New(decision.Config{
 		Brokers: 1, MaxAttempts: 3, MeanUnits: 1, MaxUnits: 8,
 		SendsRetryAfter: true, MaxRetryAfter: time.Second,
@@ -50,6 +57,12 @@
 	return RequestInfo{Volume: "v", Key: "k", Units: 1, Shard: 0, Brokers: 1, Deadline: 1004 * second}
 }
 
+// submit submits a request and waits for the first decision.
+func submit(ctx context.Context, d *Dispatcher, r RequestInfo) (uint64, Decision) {
+	s := d.Submit(r)
+	return s.ID, d.Await(ctx, s)
+}
+
 func TestServedRequestIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -60,7 +73,7 @@
 		default:
 			t.Error("the module did not request a watch of the endpoint list")
 		}
-		id, d := dispatcher.Submit(ctx, testRequest())
+		id, d := submit(ctx, dispatcher, testRequest())
 		if d.Verdict != Forward || d.Node != "a" || d.Timeout != 2*second {
 			t.Fatalf("got %+v", d)
 		}
@@ -80,7 +93,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		dispatcher := newDispatcher(ctx, t, decision.NotIdempotent)
-		id, _ := dispatcher.Submit(ctx, testRequest())
+		id, _ := submit(ctx, dispatcher, testRequest())
 		d := dispatcher.Report(ctx, id, decision.Rejected)
 		if d.Verdict != Forward {
 			t.Fatalf("after an attempt that was not executed: got %+v, want the verdict Forward", d)
@@ -101,7 +114,7 @@
 		request.Shard = 0
 		var ids []uint64
 		for range 3 { // up to the initial depth, so that the next one is queued
-			id, d := dispatcher.Submit(ctx, request)
+			id, d := submit(ctx, dispatcher, request)
 			if d.Verdict != Forward {
 				t.Fatalf("got %+v", d)
 			}
@@ -110,7 +123,7 @@
 		waitingCtx, cancelWaiting := context.WithCancel(ctx)
 		done := make(chan Decision)
 		go func() {
-			_, d := dispatcher.Submit(waitingCtx, request)
+			_, d := submit(waitingCtx, dispatcher, request)
 			done <- d
 		}()
 		synctest.Wait()
@@ -126,7 +139,7 @@
 			}
 		}
 		// If the caller stops waiting before the module decides, the attempt is reported as not made.
-		if _, d := dispatcher.Submit(cancelledCtx, request); d.Verdict == Forward {
+		if _, d := submit(cancelledCtx, dispatcher, request); d.Verdict == Forward {
 			t.Errorf("got %+v", d)
 		}
 		synctest.Wait()
@@ -143,7 +156,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		dispatcher := newDispatcher(ctx, t, decision.Idempotent)
-		id, _ := dispatcher.Submit(ctx, testRequest())
+		id, _ := submit(ctx, dispatcher, testRequest())
 		dispatcher.ResponseStarted(id)
 		time.Sleep(3 * time.Second)
 		if d := dispatcher.Report(ctx, id, decision.ConnectionLost); d.Verdict != NoFurtherAction {
@@ -163,8 +176,33 @@
 		dispatcher := newDispatcher(ctx, t, decision.Idempotent)
 		request := testRequest()
 		request.Shard = 7
-		if _, d := dispatcher.Submit(ctx, request); d.Verdict != Rejected || d.RetryAfter <= 0 {
+		if _, d := submit(ctx, dispatcher, request); d.Verdict != Rejected || d.RetryAfter <= 0 {
 			t.Fatalf("got %+v", d)
 		}
 	})
 }
+
+// Guards against a change of the order between Submit and the module: of two requests on a key of an ordered class, the
+// one that was submitted first is executed first, even if its decision is awaited last.
+func TestOrderedRequestsAreExecutedInTheOrderOfSubmit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		dispatcher := newDispatcherWithClass(ctx, t, decision.Class{Idempotency: decision.Idempotent, Ordered: true})
+		first, second := dispatcher.Submit(testRequest()), dispatcher.Submit(testRequest())
+		secondDecided := make(chan Decision, 1)
+		go func() { secondDecided <- dispatcher.Await(ctx, second) }()
+		synctest.Wait()
+		if d := dispatcher.Await(ctx, first); d.Verdict != Forward {
+			t.Fatalf("first request: got %+v", d)
+		}
+		if len(secondDecided) > 0 {
+			t.Fatal("the second request was decided on before the first was executed")
+		}
+		dispatcher.Report(ctx, first.ID, decision.Served)
+		if d := <-secondDecided; d.Verdict != Forward {
+			t.Fatalf("second request: got %+v", d)
+		}
+		dispatcher.Report(ctx, second.ID, decision.Served)
+	})
+}
--- a/internal/broker/server/block_test.go
+++ b/internal/broker/server/block_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -56,6 +57,13 @@
 // startBlockBroker starts a block node, a broker whose endpoint list names it, and a client connection to the broker.
 // hook may be nil.
 func startBlockBroker(t testing.TB, hook func(redcon.Conn, redcon.Command) bool) (*fake.BlockServer, net.Conn, *bufio.Reader, func()) {
+	t.Helper()
+	return startBlockBrokerWith(t, hook, func(text string) string { return text })
+}
+
+// startBlockBrokerWith is startBlockBroker with a configuration that edit has changed.
+func startBlockBrokerWith(t testing.TB, hook func(redcon.Conn, redcon.Command) bool, edit func(config string) string) (
+	*fake.BlockServer, net.Conn, *bufio.Reader, func()) {
 	t.Helper()
 	f := newFixture(t)
 	b := fake.NewBlockServer()
@@ -66,7 +74,7 @@
 	}
 	serveBlock(t, b, ln)
 	f.discovery.SetEndpoints(discovery.Endpoint{ID: "s-0", Addr: ln.Addr().String(), Zone: "room", Shard: 0, State: "up"})
-	base, stop := f.startBroker(`,"listen":"127.0.0.1:0","object":null`)
+	base, stop := f.startBrokerWith([]byte(edit(string(f.configText(`,"listen":"127.0.0.1:0","object":null`)))))
 	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -152,6 +160,33 @@
 	}
 }
 
+// Guards against a lost update: writes to one key of an ordered class that a client sends together are executed in the
+// order in which it has sent them.
+func TestOrderedWritesSentTogetherAreExecutedInOrder(t *testing.T) {
+	const rounds, writes = 10, 8
+	node, c, in, _ := startBlockBrokerWith(t, nil, func(config string) string {
+		return strings.NewReplacer(`{"name":"object-write",`, `{"name":"object-write","by_arrival":true,`,
+			`"contract":{`, `"contract":{"key_quiet_ns":200000000,`).Replace(config)
+	})
+	for round := range rounds {
+		var commands, want string
+		var order []string
+		for i := range writes {
+			id := fmt.Sprintf("round%d-%d", round, i)
+			commands += blockCommand("BLK.WRITE", "object-write", id, id)
+			want += fmt.Sprintf("$%d\r\n%s\r\n", len(id), id)
+			order = append(order, "BLK.WRITE "+id)
+		}
+		if got := sendAndRead(t, c, in, commands, 2*writes); got != want {
+			t.Fatalf("got %q, want %q", got, want)
+		}
+		executed := node.Commands()
+		if got := executed[len(executed)-writes:]; !slices.Equal(got, order) {
+			t.Errorf("executed in the order %v", got)
+		}
+	}
+}
+
 // A request that is at a node when the drain starts is answered. Then the broker closes the client connection.
 func TestDrainAnswersAcceptedRequests(t *testing.T) {
 	received, release := make(chan struct{}), make(chan struct{})
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -25,8 +25,9 @@
 
 // conn is one client connection. Reads go through its commandReader, all other calls to the network connection.
 //
-// A connection uses several goroutines: the one that runs serve reads commands, one per request waits for the response,
-// and one writes replies in the order of the commands. serve waits for the others to end.
+// A connection uses several goroutines: the one that runs serve reads commands and submits their requests, one per
+// request waits for the response, and one writes replies in the order of the commands. serve waits for the others to
+// end.
 type conn struct {
 	net.Conn
 	activity
@@ -164,8 +165,9 @@
 		s.conns.countRequestConn()
 		s.conns.evictSurplus()
 	}
+	pending := s.broker.Submit(req) // here and not in the goroutine, to keep the order of the commands
 	requests.Go(func() {
-		encoded := encodeResponse(s.broker.Handle(ctx, req))
+		encoded := encodeResponse(pending.Wait(ctx))
 		s.inFlight.addReply(r, int64(len(encoded)))
 		r.encoded <- encoded
 	})
--- a/internal/frontend/block/harness_test.go
+++ b/internal/frontend/block/harness_test.go
@@ -75,14 +75,23 @@
 	return b.responses[id]
 }
 
-func (b *fakeBroker) Handle(ctx context.Context, r core.Request[*blockstore.Command]) core.Response[[]byte] {
-	id := string(r.Work.RequestID)
+func (b *fakeBroker) Submit(r core.Request[*blockstore.Command]) core.Pending[[]byte] {
 	b.requests <- r
+	return &fakePending{broker: b, id: string(r.Work.RequestID)}
+}
+
+// fakePending is a request that waits for the test's response.
+type fakePending struct {
+	broker *fakeBroker
+	id     string
+}
+
+func (p *fakePending) Wait(ctx context.Context) core.Response[[]byte] {
 	select {
-	case resp := <-b.response(id):
+	case resp := <-p.broker.response(p.id):
 		return resp
 	case <-ctx.Done():
-		b.cancelled <- id
+		p.broker.cancelled <- p.id
 		return core.Response[[]byte]{Status: core.Failure}
 	}
 }
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -15,9 +15,10 @@
 	"poppyarch/internal/timing/clock"
 )
 
-// Broker executes requests. Handle returns the single, final response to a request.
+// Broker executes requests, those of ordered classes in the order of the calls of Submit. Submit does not wait for the
+// single, final response to a request; Wait of its result does.
 type Broker interface {
-	Handle(ctx context.Context, r core.Request[*blockstore.Command]) core.Response[[]byte]
+	Submit(r core.Request[*blockstore.Command]) core.Pending[[]byte]
 }
 
 // Server serves clients.
