Object frontend: a request that crosses the close does not cut off the response

Callers could see: a response that breaks off, if they sent a further request while the frontend closed the connection after it.

Cause: a close over unread bytes resets the connection, and the bytes of the response that the client's system has not received are gone.

Evidence: TestResponseIsDeliveredWhenARequestCrossesTheClose has a client with a small buffer that sends its second request in the instant of the close, and reads only then. A first form of the test sent the request at the close of another connection and failed on the fixed code too; it now looks at the address.

Fix: the block frontend's lingering close moves to socket.Linger, unchanged, and httpserver closes with it while the system holds bytes of a response. Ruled out: SO_LINGER, which blocks without reading, so that the reset still comes.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -93,7 +92,8 @@
 	writer.Wait()
 	disconnected := errors.Is(context.Cause(ctx), core.ErrClientDisconnected)
 	if protocolFailure || !disconnected && c.replyInTransit() {
-		c.lingerClose()
+		// Input that arrives meanwhile is not executed; the client sends it to another broker.
+		socket.Linger(c.Conn, clock.Duration(c.server.lim.ClientLingerTimeout), c.server.lim.MaxMessageBytes)
 	}
 }
 
@@ -215,24 +215,3 @@
 	}
 	return c.server.clock.Now()-c.idleSince.Load() < deliveryTime
 }
-
-// lingerClose closes the sending side and waits for up to Limits.ClientLingerTimeout for the client to close its side.
-// Closing a connection with unread input would reset it, and the client would lose the replies that it has not read.
-// Input that arrives meanwhile is discarded: none of it was executed, and the client sends it to another broker.
-func (c *conn) lingerClose() {
-	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		_ = half.CloseWrite() // on an error, the connection is still closed below
-	}
-	deadline := time.Now().Add(clock.Duration(c.server.lim.ClientLingerTimeout))
-	buf := make([]byte, 4096)
-	for left := c.server.lim.MaxMessageBytes; left > 0 && time.Now().Before(deadline); {
-		if c.SetReadDeadline(deadline) != nil {
-			return
-		}
-		n, err := c.Conn.Read(buf)
-		left -= n
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // wake may end a read before the deadline
-			return
-		}
-	}
-}
--- a/internal/frontend/object/drain_test.go
+++ b/internal/frontend/object/drain_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"io"
+	"net"
 	"strings"
 	"testing"
+
+	"poppyarch/internal/transport/socket"
 )
 
 // Guards against requests that are read during a drain and closed without an answer because they are the first of their
@@ -93,6 +96,33 @@
 	h.expectDrained()
 }
 
+// Guards against a response that is cut off because a request arrives while the server closes the connection after it.
+func TestResponseIsDeliveredWhenARequestCrossesTheClose(t *testing.T) {
+	h := newDrainHarness(t, 8)
+	h.broker.padding = strings.Repeat("x", 60_000)
+	release := h.broker.hold("/art/first")
+	c := h.dialWithSmallBuffer()
+	c.send(firstRequest)
+	<-h.broker.received
+	closing := make(chan struct{})
+	h.listener.beforeClose = func(serverSide *net.TCPConn) {
+		if serverSide.RemoteAddr().String() != c.LocalAddr().String() {
+			return // a connection of startDrain
+		}
+		c.send(secondRequest)
+		eventually(t, "the second request has arrived", func() bool { return socket.Peek(serverSide) == socket.Readable })
+		close(closing)
+	}
+	h.startDrain()
+	close(release)
+	<-closing // until now the client has read nothing of the response, which exceeds its buffer
+	if !c.expectResponse("/art/first" + h.broker.padding) {
+		t.Error("the response does not announce the end of the connection")
+	}
+	c.expectEnd()
+	h.expectDrained()
+}
+
 // A request whose head has not arrived by the end of the drain does not delay the drain for longer.
 func TestDrainEndsIncompleteRequestsAtItsDeadline(t *testing.T) {
 	h := newDrainHarness(t, 8)
--- a/internal/frontend/object/harness_test.go
+++ b/internal/frontend/object/harness_test.go
@@ -3,11 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -25,6 +27,9 @@
 	secondRequest = "GET /art/second HTTP/1.1\r\nHost: b\r\n\r\n"
 )
 
+// writeBufferBytes holds the longest response, so that the server never waits for a client.
+const writeBufferBytes = 1 << 20
+
 // minIdleTimeout is longer than all time limits of reads but the one for the next request of a connection.
 const minIdleTimeout = 30 * time.Second
 
@@ -45,8 +50,10 @@
 // fakeBroker answers each request with its target. Requests of held targets wait until they are released.
 type fakeBroker struct {
 	received chan string // targets
-	mu       sync.Mutex
-	held     map[string]chan struct{}
+	padding  string      // appended to each response
+
+	mu   sync.Mutex
+	held map[string]chan struct{}
 }
 
 func newFakeBroker() *fakeBroker {
@@ -61,6 +68,7 @@
 	return b.held[target]
 }
 
+// Handle implements Broker.
 func (b *fakeBroker) Handle(ctx context.Context, r core.Request[*objectstore.Request]) core.Response[*objectstore.Response] {
 	b.received <- r.Work.Target
 	b.mu.Lock()
@@ -76,17 +84,18 @@
 	return core.Response[*objectstore.Response]{Value: &objectstore.Response{
 		Status: http.StatusOK,
 		Header: http.Header{},
-		Body:   []byte(r.Work.Target),
+		Body:   []byte(r.Work.Target + b.padding),
 	}}
 }
 
 // heldListener wraps the connections that it accepts, and reports what the server does with them.
 type heldListener struct {
 	net.Listener
-	accepted    chan struct{}  // receives a value for each connection
-	hold        chan *readHold // each is armed on all connections
-	idle        chan struct{}  // receives a value when the server waits for the next request of a connection
-	interrupted chan struct{}  // receives a value when the server closes a connection or ends a read of it
+	beforeClose func(*net.TCPConn) // called before the server closes a connection or its sending side; nil by default
+	accepted    chan struct{}      // receives a value for each connection
+	hold        chan *readHold     // each is armed on all connections
+	idle        chan struct{}      // receives a value when the server waits for the next request of a connection
+	interrupted chan struct{}      // receives a value when the server closes a connection or ends a read of it
 }
 
 func newHeldListener(ln net.Listener) *heldListener {
@@ -106,7 +115,11 @@
 		return nil, err
 	}
 	signal(l.accepted)
-	return &heldConn{TCPConn: c.(*net.TCPConn), listener: l}, nil
+	tcp := c.(*net.TCPConn)
+	if err := tcp.SetWriteBuffer(writeBufferBytes); err != nil {
+		return nil, err
+	}
+	return &heldConn{TCPConn: tcp, listener: l}, nil
 }
 
 // signal sends to a channel that no test lets fill up, except while it waits for the end of a listener.
@@ -127,6 +140,7 @@
 type heldConn struct {
 	*net.TCPConn
 	listener *heldListener
+	closing  sync.Once
 }
 
 func (c *heldConn) Read(b []byte) (int, error) {
@@ -155,7 +169,20 @@
 	return err
 }
 
+// CloseWrite closes the sending side.
+func (c *heldConn) CloseWrite() error {
+	c.closing.Do(c.callBeforeClose)
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *heldConn) callBeforeClose() {
+	if c.listener.beforeClose != nil {
+		c.listener.beforeClose(c.TCPConn)
+	}
+}
+
 func (c *heldConn) Close() error {
+	c.closing.Do(c.callBeforeClose)
 	err := c.TCPConn.Close()
 	signal(c.listener.interrupted)
 	return err
@@ -213,7 +240,25 @@
 // dial returns a client whose connection the server has accepted.
 func (h *drainHarness) dial() *client {
 	h.t.Helper()
-	nc, err := net.Dial("tcp", h.listener.Addr().String())
+	return h.dialWith(&net.Dialer{})
+}
+
+// dialWithSmallBuffer returns a client that receives little of a response before it reads.
+func (h *drainHarness) dialWithSmallBuffer() *client {
+	h.t.Helper()
+	const bufferBytes = 4096
+	return h.dialWith(&net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+		})
+		return errors.Join(err, setErr)
+	}})
+}
+
+func (h *drainHarness) dialWith(dialer *net.Dialer) *client {
+	h.t.Helper()
+	nc, err := dialer.Dial("tcp", h.listener.Addr().String())
 	if err != nil {
 		h.t.Fatal(err)
 	}
@@ -238,11 +283,11 @@
 	c.t.Helper()
 	resp, err := http.ReadResponse(c.in, nil)
 	if err != nil {
-		c.t.Fatalf("%s: no response: %v", target, err)
+		c.t.Fatalf("%.40s: no response: %v", target, err)
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil || string(body) != target || resp.StatusCode != http.StatusOK {
-		c.t.Fatalf("%s: status %d, body %q, error %v", target, resp.StatusCode, body, err)
+		c.t.Fatalf("%.40s: status %d, %d bytes that begin with %.40q, error %v", target, resp.StatusCode, len(body), body, err)
 	}
 	return resp.Close
 }
@@ -251,7 +296,7 @@
 func (c *client) expectEnd() {
 	c.t.Helper()
 	if rest, err := io.ReadAll(c.in); err != nil || len(rest) > 0 {
-		c.t.Fatalf("got %q (%v), want the end of the connection", rest, err)
+		c.t.Fatalf("got %.40q (%v), want the end of the connection", rest, err)
 	}
 }
 
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -62,7 +62,11 @@
 		ReadHeaderTimeout: clock.Duration(s.lim.ObjectStallTimeout),
 		IdleTimeout:       clock.Duration(s.lim.ObjectIdleTimeout),
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
-	}, httpserver.Options{MaxConns: maxConns, UnusedTimeout: s.lim.ClientStallTimeout}, c)
+	}, httpserver.Options{
+		MaxConns:      maxConns,
+		UnusedTimeout: s.lim.ClientStallTimeout,
+		LingerTimeout: clock.Duration(s.lim.ClientLingerTimeout),
+	}, c)
 	return s
 }
 
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poppyarch/internal/timing/clock"
@@ -23,6 +24,8 @@
 	MaxConns int
 	// UnusedTimeout is the time after which a connection without a request counts as idle.
 	UnusedTimeout clock.Micros
+	// LingerTimeout is how long the close of a connection waits for its client to receive the last response.
+	LingerTimeout time.Duration
 }
 
 // endMode tells which connections end, apart from those that are evicted. Each mode includes the ones before it.
@@ -41,6 +44,8 @@
 	opts  Options
 	clock *clock.Clock
 
+	aborting atomic.Bool // connections are closed without a delay
+
 	mu       sync.Mutex
 	changed  *sync.Cond // signals that a connection has ended or changed its state, or that the server accepts no more
 	conns    map[*conn]struct{}
@@ -127,6 +132,7 @@
 // Close stops accepting clients and closes all connections, also those that carry a request.
 func (s *Server) Close() {
 	s.stopAccepting()
+	s.aborting.Store(true)
 	_ = s.http.Close() // fails only if the listener is closed already
 }
 
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -1,4 +1,4 @@
-// Package socket inspects connections without reading from them.
+// Package socket inspects connections without reading from them, and closes them without losing sent bytes.
 package socket
 
 import (
