Object frontend: the close after a response reads nothing more

Cause: took over the block frontend's lingering close, which discards input while the client takes the rest of the response.

Fix: socket.AwaitDelivery waits without reading, for as long as the client receives bytes within client_linger; then the unread request resets the connection, which tells the client that it was not read. Ruled out: discarding less, as any whole request may be in the first bytes.

--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -17,9 +17,6 @@
 // pastDeadline is a read deadline in the past, which ends a blocked read.
 var pastDeadline = time.Unix(1, 0)
 
-// maxLingerBytes limits the input that is discarded while a connection waits to be closed.
-const maxLingerBytes = 1 << 20
-
 // conn is one client connection. Its Read ends the connection if it is to end and waits for a request: it returns a
 // time-out, on which net/http closes a connection without a response.
 type conn struct {
@@ -174,10 +171,11 @@
 	return c.mode >= endAnswered && !c.input.hasReadBeyondRequest()
 }
 
-// Close closes the connection, once the client has received the last response or LingerTimeout has passed.
+// Close closes the connection, once the client has received the last response or LingerTimeout has passed. Requests that
+// arrive meanwhile are not read.
 func (c *conn) Close() error {
 	if n, ok := socket.UnsentBytes(c.Conn); ok && n > 0 && !c.server.aborting.Load() {
-		socket.Linger(c.Conn, c.server.opts.LingerTimeout, maxLingerBytes)
+		socket.AwaitDelivery(c.Conn, c.server.opts.LingerTimeout)
 	}
 	return c.Conn.Close()
 }
--- a/internal/transport/socket/linger.go
+++ b/internal/transport/socket/linger.go
@@ -10,13 +10,39 @@
 // lingerBufferBytes is the size of the buffer for discarded input.
 const lingerBufferBytes = 4096
 
-// Linger closes the sending side of a connection and waits for up to timeout for the peer to close its side. The caller
-// closes the connection afterwards. Closing a connection with unread input resets it, and the peer loses what it has not
-// read. Input that arrives meanwhile is discarded, up to maxBytes.
-func Linger(c net.Conn, timeout time.Duration, maxBytes int) {
+// deliveryCheckInterval is how often AwaitDelivery looks at a connection.
+const deliveryCheckInterval = 2 * time.Millisecond
+
+// AwaitDelivery closes the sending side of a connection and waits until the peer has received all bytes or has closed its
+// side, for as long as it receives some within stallTimeout. It reads nothing: if input has arrived, which resets the
+// connection when the caller closes it, the peer also gets stallTimeout to read what it has received.
+func AwaitDelivery(c net.Conn, stallTimeout time.Duration) {
+	closeWrite(c)
+	lastUnsent := 0
+	for deadline := time.Now().Add(stallTimeout); time.Now().Before(deadline); time.Sleep(deliveryCheckInterval) {
+		unsent, known := UnsentBytes(c)
+		delivered := known && unsent == 0 && Peek(c) == Empty
+		if delivered || PeerClosed(c) {
+			return
+		}
+		if unsent != lastUnsent {
+			lastUnsent = unsent
+			deadline = time.Now().Add(stallTimeout)
+		}
+	}
+}
+
+func closeWrite(c net.Conn) {
 	if half, ok := c.(interface{ CloseWrite() error }); ok {
 		_ = half.CloseWrite() // on an error, the connection is still closed by the caller
 	}
+}
+
+// Linger closes the sending side of a connection and waits for up to timeout for the peer to close its side, after input
+// that cannot be used. The caller closes the connection afterwards. Closing a connection with unread input resets it, and
+// the peer loses what it has not read. Input that arrives meanwhile is discarded, up to maxBytes.
+func Linger(c net.Conn, timeout time.Duration, maxBytes int) {
+	closeWrite(c)
 	deadline := time.Now().Add(timeout)
 	buf := make([]byte, lingerBufferBytes)
 	for left := maxBytes; left > 0 && time.Now().Before(deadline); {
--- a/internal/transport/socket/socket_test.go
+++ b/internal/transport/socket/socket_test.go
@@ -130,3 +130,30 @@
 		}
 	}
 }
+
+// A peer that reads slowly gets all bytes although input is waiting on the connection, of which nothing is read.
+func TestAwaitDeliveryWaitsForASlowPeerAndReadsNothing(t *testing.T) {
+	local, peer := newPair(t)
+	must(t, local.SetWriteBuffer(1<<20))
+	must(t, peer.SetReadBuffer(4096))
+	sent := make([]byte, 200_000)
+	_, err := local.Write(sent)
+	must(t, err)
+	_, err = io.WriteString(peer, "unread")
+	must(t, err)
+	eventually(t, "the input", func() bool { return Peek(local) == Readable })
+	closed := make(chan State, 1)
+	go func() {
+		AwaitDelivery(local, 10*time.Second)
+		closed <- Peek(local)
+		closeAll(local)
+	}()
+	received, err := io.ReadAll(peer)
+	if err != nil || len(received) != len(sent) {
+		t.Errorf("the peer received %d of %d bytes, then %v", len(received), len(sent), err)
+	}
+	closeAll(peer)
+	if state := <-closed; state != Readable {
+		t.Errorf("state %d, want the input unread", state)
+	}
+}
