Object frontend: the rest of a request is not read after its connection has been given up

Cause: when a read times out within a line, net/http takes what has arrived for the whole line and reads on. The connection's Read looked at the socket again at each call, found the rest and handed it over.

Fix: Read ends a connection once and for all, and Write then fails, so that net/http's answer to the incomplete request is not sent either. The client, which has not sent the whole request when its connection ends, sends it elsewhere.

--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -34,6 +34,7 @@
 	requestBegun bool      // part of the next request has been read
 	readDeadline time.Time // as net/http has set it
 	interrupted  bool      // pastDeadline is in force in place of readDeadline
+	ended        bool      // Read has ended the connection: nothing more is read or written
 	input        requestInput
 }
 
@@ -54,7 +55,11 @@
 func (c *conn) readArrived(b []byte, timeout error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.interrupted || socket.Peek(c.Conn) != socket.Readable {
+	if !c.interrupted {
+		return 0, timeout
+	}
+	if c.ended || socket.Peek(c.Conn) != socket.Readable {
+		c.ended = true
 		return 0, timeout
 	}
 	c.interrupted = false
@@ -66,6 +71,21 @@
 	return n, err
 }
 
+// Write writes to the client. It fails once Read has ended the connection: net/http takes the part of a request that has
+// arrived for a malformed one, and would answer it, although the client has not sent the rest.
+func (c *conn) Write(b []byte) (int, error) {
+	if c.hasEnded() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) hasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
 // recordRead records bytes that net/http has read. A connection that was to be evicted is kept for them.
 func (c *conn) recordRead(b []byte) {
 	c.mu.Lock()
