Tidying: one random client for both frontends' tests; the agent's operations share their beginning

The clients of the two random drain tests were the same but for the text that they send: fake.SendInPieces. Start, Stop and Restart of the one-machine agent took the lock and chose the runners in the same six lines: Agent.operate. No behaviour changes.

--- a/internal/frontend/block/drain_random_test.go
+++ b/internal/frontend/block/drain_random_test.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -14,6 +14,7 @@
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
+	"poppyarch/internal/testkit/fake"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -104,10 +105,10 @@
 		}()
 		var running sync.WaitGroup
 		for i := range clients {
-			start := time.Duration(random.Int64N(int64(maxStart)))
-			requests := 1 + random.IntN(maxRequest)
+			delay := time.Duration(random.Int64N(int64(maxStart)))
+			text := pipelinedCommands(i, 1+random.IntN(maxRequest))
 			ownRandom := rand.New(rand.NewPCG(seed, uint64(round*clients+i)))
-			running.Go(func() { runRandomClient(ln.Addr().String(), ownRandom, start, i, requests) })
+			running.Go(func() { fake.SendInPieces(ln.Addr().String(), text, delay, ownRandom) })
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(maxStart))))
 		if err := s.Drain(context.Background()); err != nil {
@@ -121,26 +122,11 @@
 	}
 }
 
-// runRandomClient sends requests together on one connection, in up to three pieces, and reads until the server ends it.
-// It gives up if the server does not accept it.
-func runRandomClient(addr string, random *rand.Rand, start time.Duration, number, requests int) {
-	const maxPause = 2 * time.Millisecond
-	time.Sleep(start)
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer disconnect(c)
-	var text string
-	for i := range requests {
-		text += readCommand(fmt.Sprintf("%02d-%d", number, i))
-	}
-	for range 2 {
-		cut := random.IntN(len(text))
-		send(c, text[:cut])
-		text = text[cut:]
-		time.Sleep(time.Duration(random.Int64N(int64(maxPause))))
+// pipelinedCommands returns the text of requests that a client sends together.
+func pipelinedCommands(client, n int) string {
+	var text strings.Builder
+	for i := range n {
+		text.WriteString(readCommand(fmt.Sprintf("%02d-%d", client, i)))
 	}
-	send(c, text)
-	_, _ = io.Copy(io.Discard, c) // ends with the connection
+	return text.String()
 }
--- a/internal/frontend/object/drain_random_test.go
+++ b/internal/frontend/object/drain_random_test.go
@@ -4,16 +4,17 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"poppyarch/internal/broker/config"
+	"poppyarch/internal/testkit/fake"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -57,20 +58,6 @@
 	return &countingConn{TCPConn: c.(*net.TCPConn), requests: &l.requests}, nil
 }
 
-// sendInPieces writes text in up to three pieces with pauses between them, and ends at an error.
-func sendInPieces(w io.Writer, random *rand.Rand, text string) {
-	const maxPause = 2 * time.Millisecond
-	for range 2 {
-		cut := random.IntN(len(text))
-		if _, err := io.WriteString(w, text[:cut]); err != nil {
-			return
-		}
-		text = text[cut:]
-		time.Sleep(time.Duration(random.Int64N(int64(maxPause))))
-	}
-	_, _ = io.WriteString(w, text) // the server may have ended the connection
-}
-
 // Guards against any order of connections, pieces of requests, evictions and a drain in which the server reads a request
 // and does not handle it. The orders are random; the check holds for each of them.
 func TestDrainHandlesEveryRequestItHasRead(t *testing.T) {
@@ -100,10 +87,10 @@
 		go func() { served <- s.Serve(counting) }()
 		var running sync.WaitGroup
 		for i := range clients {
-			start := time.Duration(random.Int64N(int64(maxStart)))
-			requests := 1 + random.IntN(maxRequest)
+			delay := time.Duration(random.Int64N(int64(maxStart)))
+			text := pipelinedRequests(1 + random.IntN(maxRequest))
 			ownRandom := rand.New(rand.NewPCG(seed, uint64(round*clients+i)))
-			running.Go(func() { runRandomClient(ln.Addr().String(), ownRandom, start, requests) })
+			running.Go(func() { fake.SendInPieces(ln.Addr().String(), text, delay, ownRandom) })
 		}
 		time.Sleep(time.Duration(random.Int64N(int64(maxStart))))
 		if err := s.Drain(context.Background()); err != nil {
@@ -119,19 +106,11 @@
 	}
 }
 
-// runRandomClient sends requests together on one connection and reads until the server ends it. It gives up if the
-// server does not accept it.
-func runRandomClient(addr string, random *rand.Rand, start time.Duration, requests int) {
-	time.Sleep(start)
-	c, err := net.Dial("tcp", addr)
-	if err != nil {
-		return
-	}
-	defer func() { _ = c.Close() }()
-	var text string
-	for i := range requests {
-		text += fmt.Sprintf("GET /art/%d HTTP/1.1\r\nHost: b\r\n\r\n", i)
+// pipelinedRequests returns the text of requests that a client sends together.
+func pipelinedRequests(n int) string {
+	var text strings.Builder
+	for i := range n {
+		fmt.Fprintf(&text, "GET /art/%d HTTP/1.1\r\nHost: b\r\n\r\n", i)
 	}
-	sendInPieces(c, random, text)
-	_, _ = io.Copy(io.Discard, c) // ends with the connection
+	return text.String()
 }
--- a/internal/host/agent/agent.go
+++ b/internal/host/agent/agent.go
@@ -48,59 +48,59 @@
 // Start starts the named instances, or all that the inventory enables if names is empty. It does not wait until they
 // are ready.
 func (a *Agent) Start(_ context.Context, names []string) error {
-	a.operation.Lock()
-	defer a.operation.Unlock()
-	runners, err := a.selectRunners(names)
-	if err != nil {
-		return err
-	}
-	for _, r := range runners {
-		if s := r.snapshot(); len(names) > 0 || s.instance.Enabled {
-			r.setDesired(true, s.instance)
+	return a.operate(names, func(runners []*runner) error {
+		for _, r := range runners {
+			if s := r.snapshot(); len(names) > 0 || s.instance.Enabled {
+				r.setDesired(true, s.instance)
+			}
 		}
-	}
-	return nil
+		return nil
+	})
 }
 
 // Stop drains the named instances, or all if names is empty, concurrently. It returns when they have stopped.
 func (a *Agent) Stop(ctx context.Context, names []string) error {
-	a.operation.Lock()
-	defer a.operation.Unlock()
-	runners, err := a.selectRunners(names)
-	if err != nil {
-		return err
-	}
-	for _, r := range runners {
-		r.setDesired(false, r.snapshot().instance)
-	}
-	for _, r := range runners {
-		if err := r.waitStopped(ctx); err != nil {
-			return err
+	return a.operate(names, func(runners []*runner) error {
+		for _, r := range runners {
+			r.setDesired(false, r.snapshot().instance)
 		}
-	}
-	return nil
+		for _, r := range runners {
+			if err := r.waitStopped(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 }
 
 // Restart drains and starts the named instances one at a time, each once the previous one is ready. If names is empty,
 // it restarts all instances that should be running. It returns an error at the first instance that does not become
 // ready, so that a faulty change takes down one instance and not all.
 func (a *Agent) Restart(ctx context.Context, names []string) error {
+	return a.operate(names, func(runners []*runner) error {
+		for _, r := range runners {
+			s := r.snapshot()
+			if !s.status.ShouldRun && len(names) == 0 {
+				continue
+			}
+			if err := r.restart(ctx, s.instance, true); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+// operate carries out an operation on the runners of the named instances, or on all if names is empty, while no other
+// operation is in progress.
+func (a *Agent) operate(names []string, operation func([]*runner) error) error {
 	a.operation.Lock()
 	defer a.operation.Unlock()
 	runners, err := a.selectRunners(names)
 	if err != nil {
 		return err
 	}
-	for _, r := range runners {
-		s := r.snapshot()
-		if !s.status.ShouldRun && len(names) == 0 {
-			continue
-		}
-		if err := r.restart(ctx, s.instance, true); err != nil {
-			return err
-		}
-	}
-	return nil
+	return operation(runners)
 }
 
 // Status returns the status of all instances, sorted by name.
