Broker: no frontend serves before all of them listen

Callers could see: the end of a connection in place of an answer, if a broker with two frontends could not listen on its second address: it had begun to serve on the first and then ended.

Cause: serve started each frontend in the loop that binds the addresses.

Fix: all addresses are bound first. Clients that come meanwhile wait in the system's queue, unread, and are reset if the broker ends.

--- a/internal/broker/server/serve.go
+++ b/internal/broker/server/serve.go
@@ -23,7 +23,7 @@
 // when their goroutines have ended.
 func serve(ctx context.Context, drainTime time.Duration, frontends map[string]frontend, listen ListenFunc,
 	log *slog.Logger) error {
-	var listeners []net.Listener
+	listeners := map[string]net.Listener{}
 	var serving sync.WaitGroup
 	failed := make(chan error, len(frontends))
 	defer serving.Wait()
@@ -32,14 +32,17 @@
 			_ = ln.Close() // a drained frontend has closed its own
 		}
 	}()
-	for addr, f := range frontends {
+	// No frontend serves before all listen: a request that one had read would be lost if another could not listen.
+	for addr := range frontends {
 		ln, err := listen(ctx, addr)
 		if err != nil {
 			return fmt.Errorf("listen: %w", err)
 		}
-		listeners = append(listeners, ln)
+		listeners[addr] = ln
+	}
+	for addr, ln := range listeners {
 		serving.Go(func() {
-			if err := f.Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
+			if err := frontends[addr].Serve(ln); err != nil && !errors.Is(err, net.ErrClosed) {
 				failed <- err
 			}
 		})
