Broker: a frontend that fails no longer takes the other's requests along

Callers could see: the end of a connection in place of an answer, if the listener of a broker's other frontend broke.

Cause: serve returned at once with the error, and the process ended with the requests in flight. Not seen in the field: net/http retries most errors of accept, and the block frontend all of them.

Fix: the failure is logged and starts the drain that SIGTERM starts; the error comes back after it, so the exit code stays 1.

--- a/internal/broker/server/serve.go
+++ b/internal/broker/server/serve.go
@@ -19,8 +19,8 @@
 	Drain(context.Context) error
 }
 
-// serve runs the frontends, keyed by address, until ctx is done, and then drains them for at most drainTime. It returns
-// when their goroutines have ended.
+// serve runs the frontends, keyed by address, until ctx is done or one fails, and then drains them for at most drainTime.
+// It returns when their goroutines have ended, with the error of the frontend that failed.
 func serve(ctx context.Context, drainTime time.Duration, frontends map[string]frontend, listen ListenFunc,
 	log *slog.Logger) error {
 	listeners := map[string]net.Listener{}
@@ -48,17 +48,19 @@
 		})
 		log.Info("serving", "addr", ln.Addr().String())
 	}
+	var serveErr error
 	select {
 	case <-ctx.Done():
 	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
+		serveErr = fmt.Errorf("serve: %w", err)
+		log.Error("a frontend failed, draining all", "err", err)
 	}
 	log.Info("draining")
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTime)
 	defer cancel()
 	drain(drainCtx, frontends, log)
 	log.Info("stopped")
-	return nil
+	return serveErr
 }
 
 // drain drains all frontends concurrently and waits until they have drained.
--- a/internal/broker/server/serve_test.go
+++ b/internal/broker/server/serve_test.go
@@ -66,3 +66,51 @@
 		}
 	})
 }
+
+// failingFrontend fails to serve.
+type failingFrontend struct {
+	err error
+}
+
+func (f failingFrontend) Serve(net.Listener) error { return f.err }
+
+func (f failingFrontend) Drain(context.Context) error { return nil }
+
+// drainedFrontend serves until it is drained.
+type drainedFrontend struct {
+	drained chan struct{}
+}
+
+func (f drainedFrontend) Serve(net.Listener) error {
+	<-f.drained
+	return nil
+}
+
+func (f drainedFrontend) Drain(context.Context) error {
+	close(f.drained)
+	return nil
+}
+
+// Guards against requests that are read and lost because a broker ends at once when another frontend fails.
+func TestFrontendsAreDrainedWhenOneFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		errBroken := errors.New("listener broken")
+		drained := drainedFrontend{make(chan struct{})}
+		frontends := map[string]frontend{"a": failingFrontend{errBroken}, "b": drained}
+		listen := func(context.Context, string) (net.Listener, error) {
+			return &idleListener{make(chan struct{})}, nil
+		}
+		result := make(chan error, 1)
+		go func() { result <- serve(t.Context(), time.Second, frontends, listen, slog.New(slog.DiscardHandler)) }()
+		synctest.Wait()
+		select {
+		case <-drained.drained:
+		default:
+			t.Error("the other frontend was not drained")
+			close(drained.drained)
+		}
+		if err := <-result; !errors.Is(err, errBroken) {
+			t.Errorf("got %v, want %v", err, errBroken)
+		}
+	})
+}
