Object frontend: one idle connection is closed for one new client

Cause: the listener asks a connection to end and waits for any change of any connection; each change before the first had ended made it ask another one.

Fix: while a connection has been asked and has not reacted, no other is.

--- a/internal/frontend/object/drain_test.go
+++ b/internal/frontend/object/drain_test.go
@@ -76,6 +76,23 @@
 	next.expectResponse("/art/first")
 }
 
+// Guards against several connections being closed for one new client: the changes of other connections must not close
+// another one while the first has not reacted yet.
+func TestOneConnectionIsEvictedForOneClient(t *testing.T) {
+	h := newDrainHarness(t, 3)
+	longest, second, third := h.idleClient(), h.idleClient(), h.idleClient()
+	hold := h.holdRequest(longest, secondRequest)
+	next := h.dial()
+	next.send(firstRequest)
+	<-h.listener.interrupted
+	second.roundTrip()
+	third.roundTrip()
+	second.roundTrip()
+	close(hold.released)
+	longest.expectResponse("/art/second")
+	next.expectResponse("/art/first")
+}
+
 // A drain announces the end of a connection with the response, and ends idle connections in order.
 func TestDrainAnnouncesAndEndsConnections(t *testing.T) {
 	h := newDrainHarness(t, 8)
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -63,9 +63,10 @@
 		IdleTimeout:       clock.Duration(s.lim.ObjectIdleTimeout),
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}, httpserver.Options{
-		MaxConns:      maxConns,
-		UnusedTimeout: s.lim.ClientStallTimeout,
-		LingerTimeout: clock.Duration(s.lim.ClientLingerTimeout),
+		MaxConns:        maxConns,
+		UnusedTimeout:   s.lim.ClientStallTimeout,
+		LingerTimeout:   clock.Duration(s.lim.ClientLingerTimeout),
+		DeliveryTimeout: clock.Duration(s.lim.ClientWriteTimeout),
 	}, c)
 	return s
 }
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -157,10 +157,25 @@
 	c.updateReadDeadline()
 }
 
-func (c *conn) isEvicted() bool {
+// eviction is the progress of a connection's eviction.
+type eviction uint8
+
+const (
+	notEvicted eviction = iota
+	evictionAsked
+	evictionDone // the connection is being closed
+)
+
+func (c *conn) eviction() eviction {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.evicted
+	switch {
+	case c.ended:
+		return evictionDone
+	case c.evicted:
+		return evictionAsked
+	}
+	return notEvicted
 }
 
 // setBusy records that the head of a request has been read, or that its response has been sent.
@@ -191,11 +206,11 @@
 	return c.mode >= endAnswered && !c.input.hasReadBeyondRequest()
 }
 
-// Close closes the connection, once the client has received the last response or LingerTimeout has passed. Requests that
+// Close closes the connection, once the client has received the last response or has had the time for it. Requests that
 // arrive meanwhile are not read.
 func (c *conn) Close() error {
 	if n, ok := socket.UnsentBytes(c.Conn); ok && n > 0 && !c.server.aborting.Load() {
-		socket.AwaitDelivery(c.Conn, c.server.opts.LingerTimeout)
+		socket.AwaitDelivery(c.Conn, c.server.opts.LingerTimeout, c.server.opts.DeliveryTimeout)
 	}
 	return c.Conn.Close()
 }
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -46,12 +46,19 @@
 	return c
 }
 
-// longestIdle returns the connection that has been idle for longest, or nil if all are busy or about to end. A
-// connection with unread input is about to carry a request and does not count as idle. The caller holds mu.
+// longestIdle returns the connection that has been idle for longest, or nil if all are busy or about to end, or if one
+// has not reacted to its eviction yet. A connection with unread input is about to carry a request and does not count as
+// idle. The caller holds mu.
 func (s *Server) longestIdle() *conn {
 	var longest *conn
 	now := s.clock.Now()
 	for c := range s.conns {
+		switch c.eviction() {
+		case evictionAsked:
+			return nil
+		case evictionDone:
+			continue
+		}
 		unused := c.state == http.StateNew && now >= c.stateSince+s.opts.UnusedTimeout
 		if c.state != http.StateIdle && !unused {
 			continue
@@ -59,7 +66,7 @@
 		if longest != nil && c.stateSince >= longest.stateSince {
 			continue
 		}
-		if !c.isEvicted() && socket.Peek(c.Conn) != socket.Readable {
+		if socket.Peek(c.Conn) != socket.Readable {
 			longest = c
 		}
 	}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -24,8 +24,10 @@
 	MaxConns int
 	// UnusedTimeout is the time after which a connection without a request counts as idle.
 	UnusedTimeout clock.Micros
-	// LingerTimeout is how long the close of a connection waits for its client to receive the last response.
-	LingerTimeout time.Duration
+	// LingerTimeout is how long the close of a connection waits for its client to receive more of the last response, and
+	// DeliveryTimeout how long in all.
+	LingerTimeout   time.Duration
+	DeliveryTimeout time.Duration
 }
 
 // endMode tells which connections end, apart from those that are evicted. Each mode includes the ones before it.
--- a/internal/transport/socket/linger.go
+++ b/internal/transport/socket/linger.go
@@ -14,12 +14,15 @@
 const deliveryCheckInterval = 2 * time.Millisecond
 
 // AwaitDelivery closes the sending side of a connection and waits until the peer has received all bytes or has closed its
-// side, for as long as it receives some within stallTimeout. It reads nothing: if input has arrived, which resets the
-// connection when the caller closes it, the peer also gets stallTimeout to read what it has received.
-func AwaitDelivery(c net.Conn, stallTimeout time.Duration) {
+// side, for as long as it receives some within stallTimeout, and for totalTimeout at most. It reads nothing: if input has
+// arrived, which resets the connection when the caller closes it, the peer also gets stallTimeout to read what it has
+// received.
+func AwaitDelivery(c net.Conn, stallTimeout, totalTimeout time.Duration) {
 	closeWrite(c)
 	lastUnsent := 0
-	for deadline := time.Now().Add(stallTimeout); time.Now().Before(deadline); time.Sleep(deliveryCheckInterval) {
+	end := time.Now().Add(totalTimeout)
+	deadline := time.Now().Add(stallTimeout)
+	for ; time.Now().Before(deadline) && time.Now().Before(end); time.Sleep(deliveryCheckInterval) {
 		unsent, known := UnsentBytes(c)
 		delivered := known && unsent == 0 && Peek(c) == Empty
 		if delivered || PeerClosed(c) {
--- a/internal/transport/socket/socket_test.go
+++ b/internal/transport/socket/socket_test.go
@@ -144,7 +144,7 @@
 	eventually(t, "the input", func() bool { return Peek(local) == Readable })
 	closed := make(chan State, 1)
 	go func() {
-		AwaitDelivery(local, 10*time.Second)
+		AwaitDelivery(local, 10*time.Second, 30*time.Second)
 		closed <- Peek(local)
 		closeAll(local)
 	}()
@@ -157,3 +157,17 @@
 		t.Errorf("state %d, want the input unread", state)
 	}
 }
+
+// A peer that never reads does not hold up the close for longer than the total time.
+func TestAwaitDeliveryEndsAtItsTimeout(t *testing.T) {
+	local, peer := newPair(t)
+	must(t, local.SetWriteBuffer(1<<20))
+	must(t, peer.SetReadBuffer(4096))
+	_, err := local.Write(make([]byte, 60_000))
+	must(t, err)
+	AwaitDelivery(local, time.Hour, 20*time.Millisecond)
+	AwaitDelivery(local, 20*time.Millisecond, time.Hour)
+	if n, ok := UnsentBytes(local); n == 0 || !ok {
+		t.Errorf("%d unsent bytes, %v; want some", n, ok)
+	}
+}
