Block frontend: one idle connection is closed for one new client

Callers could see: the end of kept connections that nobody needed, near the connection limit on a busy machine.

Cause: freeSlot looks every 5 ms and chose a connection anew each time, although the one that it had asked before was about to end.

Fix: another connection is chosen only when the one that was asked has received input, or after 50 ms.

The hook of the object frontend's tests that is called before a close is atomic now: beside load the race detector found that a test set it while connections of its own were closing.

--- a/internal/frontend/block/eviction.go
+++ b/internal/frontend/block/eviction.go
@@ -12,6 +12,10 @@
 // freeSlotInterval is how often freeSlot checks again while all connections are in use.
 const freeSlotInterval = 5 * time.Millisecond
 
+// evictionTimeout is how long freeSlot waits for one evicted connection to end before it evicts another for the same
+// client.
+const evictionTimeout clock.Micros = 50_000
+
 // connTable holds the client connections and keeps their number within its limits.
 type connTable struct {
 	clock *clock.Clock
@@ -138,6 +142,8 @@
 // that new clients do not have to wait one by one for an evicted connection to end. During a drain, connections that
 // have carried a request are evicted only at the limit, because their clients cannot reconnect.
 func (t *connTable) freeSlot() {
+	var evicted *conn
+	var evictedAt clock.Micros
 	for {
 		t.mu.Lock()
 		count := len(t.conns)
@@ -146,12 +152,15 @@
 			end = evictBetweenRequests
 		}
 		var candidate *conn
-		if count >= t.evictAbove {
+		ending := t.isEnding(evicted) && t.clock.Now() < evictedAt+evictionTimeout
+		if count >= t.evictAbove && !ending {
 			candidate = t.evictionCandidate(evictUnused, end)
 		}
 		t.mu.Unlock()
 		if candidate != nil {
 			candidate.reader.wake()
+			evicted = candidate
+			evictedAt = t.clock.Now()
 		}
 		if count < t.maxConns {
 			return
@@ -166,6 +175,13 @@
 	}
 }
 
+// isEnding reports whether an evicted connection is about to end: it has not ended yet, and has received no input that
+// keeps it open. The caller holds mu.
+func (t *connTable) isEnding(evicted *conn) bool {
+	_, open := t.conns[evicted]
+	return open && evicted.isClosing()
+}
+
 // anyClosing reports whether any connection is about to end.
 func (t *connTable) anyClosing() bool {
 	t.mu.Lock()
--- a/internal/frontend/object/drain_test.go
+++ b/internal/frontend/object/drain_test.go
@@ -121,14 +121,15 @@
 	c.send(firstRequest)
 	<-h.broker.received
 	closing := make(chan struct{})
-	h.listener.beforeClose = func(serverSide *net.TCPConn) {
+	hook := closeHook(func(serverSide *net.TCPConn) {
 		if serverSide.RemoteAddr().String() != c.LocalAddr().String() {
 			return // a connection of startDrain
 		}
 		c.send(secondRequest)
 		eventually(t, "the second request has arrived", func() bool { return socket.Peek(serverSide) == socket.Readable })
 		close(closing)
-	}
+	})
+	h.listener.beforeClose.Store(&hook)
 	h.startDrain()
 	close(release)
 	<-closing // until now the client has read nothing of the response, which exceeds its buffer
--- a/internal/frontend/object/harness_test.go
+++ b/internal/frontend/object/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -89,15 +90,18 @@
 	}}
 }
 
+// closeHook is called with the server's side of a connection before the server closes it or its sending side.
+type closeHook func(*net.TCPConn)
+
 // heldListener wraps the connections that it accepts, and reports what the server does with them.
 type heldListener struct {
 	net.Listener
-	beforeClose func(*net.TCPConn) // called before the server closes a connection or its sending side; nil by default
-	accepted    chan struct{}      // receives a value for each connection
-	hold        chan *readHold     // each holds the next read that returns bytes, when it returns
-	holdTimeout chan *readHold     // each holds the next read that follows one that has timed out, before it reads
-	idle        chan struct{}      // receives a value when the server waits for the next request of a connection
-	interrupted chan struct{}      // receives a value when the server closes a connection or ends a read of it
+	beforeClose atomic.Pointer[closeHook] // nil by default
+	accepted    chan struct{}             // receives a value for each connection
+	hold        chan *readHold            // each holds the next read that returns bytes, when it returns
+	holdTimeout chan *readHold            // each holds the next read that follows one that has timed out, before it reads
+	idle        chan struct{}             // receives a value when the server waits for the next request of a connection
+	interrupted chan struct{}             // receives a value when the server closes a connection or ends a read of it
 }
 
 func newHeldListener(ln net.Listener) *heldListener {
@@ -198,8 +202,8 @@
 }
 
 func (c *heldConn) callBeforeClose() {
-	if c.listener.beforeClose != nil {
-		c.listener.beforeClose(c.TCPConn)
+	if hook := c.listener.beforeClose.Load(); hook != nil {
+		(*hook)(c.TCPConn)
 	}
 }
 
