Lab: means have the same digits on x86-64 and arm64

Cause: EstimateMean used stat.MeanStdDev of gonum, which adds with floats.Sum. On x86-64 that is an assembly routine with eight interleaved partial sums, elsewhere a plain loop, so the rounding errors differ. Checked: one program that calls floats.Sum and stat.MeanStdDev, built for both architectures (the x86-64 one run under an emulator): sums of 7, 20 and 39 values differ, sums of 2, 3 and 5 are equal. Fused multiply and add is not the cause, as it is off by GOFLAGS here.

Change: the package adds in one fixed order, the one in which the stored outputs were printed, and computes the deviation by the same two-pass algorithm without fused operations.

TestJSONOutputIsStable passes on arm64; before, its lab-run case failed. The interval's half width still depends on GOFLAGS -d=fmahash=qn on arm64: without it gonum's quantile of Student's t is fused there.

--- a/internal/lab/statistics/statistics.go
+++ b/internal/lab/statistics/statistics.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 
-	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 )
 
@@ -65,7 +64,7 @@
 	if n == 0 {
 		return Estimate{Mean: math.NaN(), HalfWidth: math.Inf(1)}
 	}
-	mean, dev := stat.MeanStdDev(values, nil)
+	mean, dev := meanAndDeviation(values)
 	f := Estimate{Mean: mean, HalfWidth: math.Inf(1), N: n}
 	if n > 1 {
 		t := distuv.StudentsT{Sigma: 1, Nu: float64(n - 1)}.Quantile(0.975)
