Frontends log why they close connections and reject requests

Need: the logs of the incident have no line on clients. They cannot tell clients that stall from floods, nor how many connections a broker had, or how many bytes of its clients it held.

Change: both frontends count closes by reason (silent, idle, stalled, malformed, evicted, for memory, not reading) and requests answered without an attempt (unsound, duplicate id, no memory, draining, client left).

The object frontend answers a body that does not come in time with 400 RequestTimeout, as S3 does, in place of 504: nothing was done, and the client may repeat it.

--- a/internal/broker/server/server.go
+++ b/internal/broker/server/server.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"time"
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/backend/objectstore"
@@ -24,6 +25,9 @@
 	"poppyarch/internal/transport/pool"
 )
 
+// clientReportInterval is how often the frontends log what was done to clients.
+const clientReportInterval = 10 * time.Second
+
 // Run serves until ctx is done and then drains: new connections are accepted for a short time, idle ones are closed,
 // and every accepted request is answered. reloader may be nil.
 func Run(ctx context.Context, cfg *config.Config, listen ListenFunc, reloader *Reloader, log *slog.Logger) error {
@@ -146,13 +150,17 @@
 		requests := core.NewBroker(b.dispatcher, b.endpoints, b.limiter, backend, b.clock, limits)
 		requests.SetRecorder(b.recording.requests())
 		schema := block.NewSchema(&b.cfg.Policy, b.cfg.Shards, limits)
-		frontends[b.cfg.Listen] = block.New(requests, schema, clientConns, b.clock, limits, b.log)
+		f := block.New(requests, schema, clientConns, b.clock, limits, b.log)
+		b.background.Go(func() { f.Report(ctx, clientReportInterval) })
+		frontends[b.cfg.Listen] = f
 	}
 	if b.cfg.Object != nil {
 		backend := objectstore.New(b.startPool(ctx, nodeConns), b.clock, limits)
 		requests := core.NewBroker(b.dispatcher, b.endpoints, b.limiter, backend, b.clock, limits)
 		requests.SetRecorder(b.recording.requests())
-		frontends[b.cfg.Object.Listen] = object.New(requests, b.cfg, clientConns, b.clock, b.log)
+		f := object.New(requests, b.cfg, clientConns, b.clock, b.log)
+		b.background.Go(func() { f.Report(ctx, clientReportInterval) })
+		frontends[b.cfg.Object.Listen] = f
 	}
 	return frontends
 }
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -12,6 +12,7 @@
 	"github.com/tidwall/redcon"
 
 	"poppyarch/internal/broker/core"
+	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
 	"poppyarch/internal/transport/socket"
 )
@@ -84,6 +85,9 @@
 	protocolFailure := isProtocolError(err)
 	switch {
 	case protocolFailure:
+		if !errors.Is(err, errCommandStalled) {
+			c.server.countEvent(c, clientstats.ClosedMalformed, "")
+		}
 		c.enqueueEncoded([]byte("-ERR " + err.Error() + "\r\n"))
 	case !errors.Is(err, errIdle) && !errors.Is(err, errQuit):
 		cancel(core.ErrClientDisconnected) // end of stream or reset
@@ -137,10 +141,13 @@
 	s := c.server
 	req, err := parseCommand(cmd.Args, s.schema, s.clock.Now())
 	if err != nil {
+		s.countEvent(c, clientstats.RejectedUnsound, "")
 		c.enqueueEncoded(errorReply(err))
 		return nil
 	}
+	id := string(req.Work.RequestID)
 	if !s.drain.limitDeadline(&req.Deadline, s.clock.Now()) {
+		s.countEvent(c, clientstats.RejectedDraining, id)
 		c.enqueueEncoded(busyReply(s.lim.BusyRetryAfter))
 		return nil
 	}
@@ -148,15 +155,18 @@
 	// or several commands arrived together.
 	req.ClientDisconnected = func() bool { return socket.PeerClosed(c.Conn) }
 	if (!c.hasRequested.Load() || c.pending.Load() > 0) && req.ClientDisconnected() {
+		s.countEvent(c, clientstats.ClientLeft, id)
 		return core.ErrClientDisconnected
 	}
-	r := &reply{requestID: string(req.Work.RequestID)}
-	if !s.inFlight.addID(r.requestID) {
+	r := &reply{requestID: id}
+	if !s.inFlight.addID(id) {
+		s.countEvent(c, clientstats.RejectedDuplicate, id)
 		c.enqueueEncoded([]byte(replyDuplicateID))
 		return nil
 	}
 	if !s.inFlight.reserve(r, int64(len(cmd.Raw))) {
 		s.inFlight.remove(r)
+		s.countEvent(c, clientstats.RejectedMemory, id)
 		c.enqueueEncoded(busyReply(s.lim.BusyRetryAfter))
 		return nil
 	}
@@ -183,6 +193,9 @@
 		if !writeFailed {
 			if err := c.write(encoded); err != nil {
 				writeFailed = true
+				if socket.IsTimeout(err) {
+					s.countEvent(c, clientstats.ClosedNotReading, r.requestID)
+				}
 				cancel(core.ErrClientDisconnected)
 				_ = c.Close() // ends the reader; its error adds nothing to that of the write
 			}
--- a/internal/frontend/block/idle.go
+++ b/internal/frontend/block/idle.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync/atomic"
 
+	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -77,16 +78,29 @@
 		if !c.commandTimedOut(now, evicted) {
 			return nil
 		}
-		c.closing.Store(true)
+		c.close(evicted, clientstats.ClosedStalled)
 		return errCommandStalled
 	}
 	if !evicted && !c.idleTimedOut(now) {
 		return nil
 	}
-	c.closing.Store(true)
+	reason := clientstats.ClosedIdle
+	if c.lastReadAt.Load() == 0 {
+		reason = clientstats.ClosedSilent
+	}
+	c.close(evicted, reason)
 	return errIdle
 }
 
+// close marks the connection as closing and counts the reason.
+func (c *conn) close(evicted bool, reason clientstats.Event) {
+	c.closing.Store(true)
+	if evicted && !c.server.drain.listenerClosed.Load() {
+		reason = clientstats.ClosedEvicted
+	}
+	c.server.countEvent(c, reason, "")
+}
+
 // commandTimedOut reports whether a client within a command has exceeded a timeout. The timeouts of an evicted client
 // are shorter.
 func (c *conn) commandTimedOut(now clock.Micros, evicted bool) bool {
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -6,12 +6,14 @@
 	"log/slog"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/tidwall/redcon"
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/limits"
+	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -35,6 +37,7 @@
 	conns    connTable
 	inFlight inFlight
 	drain    drainState
+	stats    clientstats.Counters
 
 	mu       sync.Mutex
 	listener net.Listener // nil before Serve
@@ -69,6 +72,13 @@
 	return s
 }
 
+// Report logs what was done to clients every interval until ctx is done, if there is anything to tell.
+func (s *Server) Report(ctx context.Context, interval time.Duration) {
+	s.stats.Report(ctx, interval, s.log.With("frontend", "block"), func() []any {
+		return []any{"conns", s.conns.count(), "in_flight", s.inFlight.count(), "client_bytes", s.inFlight.bytes.Load()}
+	})
+}
+
 // Serve accepts clients until the listener is closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
@@ -92,3 +102,11 @@
 	_ = c.Close() // it may be closed already
 	c.server.conns.remove(c)
 }
+
+// countEvent counts and logs what was done to a client or to its request, whose id is empty if it is not known.
+func (s *Server) countEvent(c *conn, event clientstats.Event, requestID string) {
+	s.stats.Count(event)
+	if s.log.Enabled(context.Background(), slog.LevelDebug) {
+		s.log.Debug("client event", "event", event.String(), "client", c.RemoteAddr().String(), "request", requestID)
+	}
+}
--- a/internal/frontend/object/errors.go
+++ b/internal/frontend/object/errors.go
@@ -29,6 +29,9 @@
 	errInvalidTimeout    = &apiError{400, "InvalidArgument", "X-Timeout-Ms must be a number of milliseconds above 0."}
 	errMethodNotAllowed  = &apiError{405, "MethodNotAllowed", "The specified method is not allowed against this resource."}
 	errNotImplemented    = &apiError{501, "NotImplemented", "A header or query you provided implies functionality that is not implemented."}
+	errBodyStalled       = &apiError{400, "RequestTimeout", "The request body was not received in time. Nothing was done."}
+	errNoMemory          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
+	errDraining          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
 	errSlowDown          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
 	errTimeout           = &apiError{504, "GatewayTimeout", "The request was not answered in time. It may have been carried out."}
 	errInternal          = &apiError{500, "InternalError", "We encountered an internal error. The request may have been carried out."}
--- a/internal/frontend/object/exchange.go
+++ b/internal/frontend/object/exchange.go
@@ -64,7 +64,7 @@
 	}
 	if x.server.drainDeadlinePassed() {
 		x.w.Header().Set("Retry-After", drainRetryAfter)
-		return errSlowDown
+		return errDraining
 	}
 	op := operationOf(x.r.Method, x.query)
 	x.setClass(op)
@@ -177,7 +177,7 @@
 	if x.server.bodyBytes.Add(size) > x.server.lim.MaxTotalBodyBytes {
 		x.server.bodyBytes.Add(-size)
 		x.w.Header().Set("Retry-After", bodyRetryAfter)
-		return errSlowDown
+		return errNoMemory
 	}
 	x.body = make([]byte, size)
 	timeout := clock.Duration(x.deadline - x.server.clock.Now())
@@ -186,7 +186,7 @@
 	// The deadline is removed because net/http would treat one that passes later as a disconnect of the client.
 	_ = x.control.SetReadDeadline(time.Time{})
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return errTimeout
+		return errBodyStalled
 	}
 	if err != nil {
 		return errIncompleteBody
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,6 +17,7 @@
 	"poppyarch/internal/broker/config"
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/limits"
+	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
 	"poppyarch/internal/transport/httpserver"
 	"poppyarch/internal/transport/socket"
@@ -37,6 +39,7 @@
 	lim    *limits.Limits
 	log    *slog.Logger
 	http   *httpserver.Server
+	stats  clientstats.Counters
 
 	lastID    atomic.Uint64 // last number used in a request id
 	bodyBytes atomic.Int64  // size of the request bodies in flight
@@ -71,6 +74,13 @@
 	return s
 }
 
+// Report logs what was done to clients every interval until ctx is done, if there is anything to tell.
+func (s *Server) Report(ctx context.Context, interval time.Duration) {
+	s.stats.Report(ctx, interval, s.log.With("frontend", "object"), func() []any {
+		return []any{"conns", s.http.ConnCount(), "client_bytes", s.bodyBytes.Load()}
+	})
+}
+
 // Serve accepts clients until the listener fails or Drain is called. After Drain it returns nil.
 func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
 
@@ -117,6 +127,7 @@
 	if x.responseStarted.Load() {
 		panic(http.ErrAbortHandler) // the aborted connection tells the client that the body is incomplete
 	}
+	s.countError(x, err)
 	x.setWriteTimeout(s.lim.ClientWriteTimeout)
 	writeError(w, r, x.id, err)
 }
@@ -144,3 +155,31 @@
 		receivedAt: now,
 	}
 }
+
+// countError counts and logs a request that is answered with an error of this server's own.
+func (s *Server) countError(x *exchange, err error) {
+	event, ok := eventOf(err)
+	if !ok {
+		return
+	}
+	s.stats.Count(event)
+	if s.log.Enabled(context.Background(), slog.LevelDebug) {
+		s.log.Debug("client event", "event", event.String(), "client", x.r.RemoteAddr, "request", x.id)
+	}
+}
+
+// eventOf returns what an error does to a client. ok is false for the errors of storage nodes and of the decision module.
+func eventOf(err error) (event clientstats.Event, ok bool) {
+	var api *apiError
+	switch {
+	case errors.Is(err, errBodyStalled):
+		return clientstats.ClosedStalled, true
+	case errors.Is(err, errNoMemory):
+		return clientstats.RejectedMemory, true
+	case errors.Is(err, errDraining):
+		return clientstats.RejectedDraining, true
+	case errors.As(err, &api) && api.status < http.StatusInternalServerError:
+		return clientstats.RejectedUnsound, true
+	}
+	return 0, false
+}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -131,6 +131,13 @@
 // ExpireIncomplete ends the connections whose next request has not arrived completely, now and in future.
 func (s *Server) ExpireIncomplete() { s.endConns(endIncomplete) }
 
+// ConnCount returns the number of connections.
+func (s *Server) ConnCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close stops accepting clients and closes all connections, also those that carry a request.
 func (s *Server) Close() {
 	s.stopAccepting()
