Block frontend: a command holds no more memory than its bytes, counted against a limit

What callers saw: brokers passed their memory limit and were killed when hundreds of clients wrote slowly or stopped within a large command, and when one client sent small commands at full speed; before the kill answers came seconds late.

Cause: redcon's reader. It calls itself once for each read within a command (65.9 MB of stack for 64 KiB a byte at a time), doubles a buffer that still holds what was consumed whenever its end falls within a command (132 MB live heap under a flood on one connection), and keeps the buffer until the connection ends. Nothing of it was counted. With the live heap over the collector's limit (0.6 of memory_mb) the collector ran without a pause: 930 cycles in 8 s. Replies to commands that are no requests (a PING of 64 KiB) were not counted either.

Change: a connection reads into 2 KiB, checks each byte as before, and keeps the bytes of one incomplete command at most; redcon parses each complete command (redcon.Parse). What an incomplete command, a command that waits and a reply hold is reserved in one budget for both ends (tuning max_bodies, a sixth of memory_mb as before). If it is used up, the oldest incomplete command, or a client that does not read its replies, gives way; a command without memory is read to its end and answered -BUSY; one connection holds a quarter of the budget at most. A connection is read on while its requests wait for their turn (tuning max_replies, 1,024), so that its end is seen. The goroutine that writes replies exists only while there are any, and large values are no longer copied. redcon's server (an accept loop) is replaced by one of 15 lines: its handler is called only after its own reader has read a command. redcon stays the parser.

Tests: the case "is idle with a large buffer" closed a connection early because redcon kept the buffer; it is replaced by TestLargeCommandLeavesNoMemoryWithItsConnection, which wants the memory back at once and the connection open. FuzzScanner also wants redcon.Parse to accept each command.

--- a/internal/broker/limits/limits.go
+++ b/internal/broker/limits/limits.go
@@ -17,7 +17,8 @@
 	// Requests in flight and their sizes.
 	MaxInFlight       int   `json:"max_open"`     // admitted requests without a response
 	MaxTotalBodyBytes int64 `json:"max_bodies"`   // message bytes held for all of them
-	MaxPipeline       int   `json:"max_pipeline"` // requests in flight on one client connection
+	MaxPipeline       int   `json:"max_pipeline"` // requests of one client connection that are passed on at a time
+	MaxPendingReplies int   `json:"max_replies"`  // replies pending on one client connection, requests that wait for their turn included
 	MaxMessageBytes   int   `json:"max_message"`  // size of one command
 	MaxArgs           int   `json:"max_args"`     // arguments of one command
 	MaxValueBytes     int   `json:"max_value"`    // size of one value in a request or a response
--- a/internal/broker/server/server.go
+++ b/internal/broker/server/server.go
@@ -17,6 +17,7 @@
 	"poppyarch/internal/broker/config"
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/dispatcher"
+	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/block"
 	"poppyarch/internal/frontend/object"
 	"poppyarch/internal/nodes/discovery"
@@ -144,13 +145,14 @@
 		clientConns /= 2
 		nodeConns /= 2
 	}
+	budget := memory.NewBudget(limits.MaxTotalBodyBytes)
 	frontends := map[string]frontend{}
 	if b.cfg.Listen != "" {
 		backend := blockstore.New(b.startPool(ctx, nodeConns), b.clock, limits)
 		requests := core.NewBroker(b.dispatcher, b.endpoints, b.limiter, backend, b.clock, limits)
 		requests.SetRecorder(b.recording.requests())
 		schema := block.NewSchema(&b.cfg.Policy, b.cfg.Shards, limits)
-		f := block.New(requests, schema, clientConns, b.clock, limits, b.log)
+		f := block.New(requests, schema, clientConns, budget, b.clock, limits, b.log)
 		b.background.Go(func() { f.Report(ctx, clientReportInterval) })
 		frontends[b.cfg.Listen] = f
 	}
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,14 +25,17 @@
 // conn is one client connection. Reads go through its commandReader, all other calls to the network connection.
 //
 // A connection uses several goroutines: the one that runs serve reads commands and submits their requests, one per
-// request waits for the response, and one writes replies in the order of the commands. serve waits for the others to
-// end.
+// submitted request waits for the response, and one writes replies in the order of the commands while there are any. serve
+// waits for the others to end.
 type conn struct {
 	net.Conn
 	activity
-	server  *Server
-	reader  commandReader
-	replies chan *reply // pending, in the order of the commands
+	server      *Server
+	reader      commandReader
+	replies     *replyQueue
+	submissions submissions
+	cancel      context.CancelCauseFunc // ends the requests; set by serve
+	writeFailed atomic.Bool             // a reply could not be sent
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -42,81 +44,83 @@
 		Conn:     nc,
 		activity: activity{acceptedAt: now},
 		server:   s,
-		replies:  make(chan *reply, s.lim.MaxPipeline),
+		replies:  newReplyQueue(),
 	}
 	c.reader = commandReader{net: nc, clock: s.clock, client: c, scanner: scanner{lim: s.lim}}
 	c.idleSince.Store(now)
 	return c
 }
 
-// Read implements net.Conn for redcon.
-func (c *conn) Read(b []byte) (int, error) { return c.reader.Read(b) }
-
-// reply is the pending reply to one command.
-type reply struct {
-	encoded   chan []byte  // receives the encoded reply; buffer of one
-	requestID string       // empty for commands that are not requests
-	bytes     atomic.Int64 // of the command and the reply, as counted in inFlight
-}
-
 // enqueue adds a pending reply. It blocks while too many replies are pending, so that no more commands are read.
 func (c *conn) enqueue(r *reply) {
-	r.encoded = make(chan []byte, 1)
+	limit := c.server.lim.MaxPendingReplies
+	if !c.reserve(r, replyOverheadBytes) {
+		c.addBytes(r, replyOverheadBytes)
+		limit = min(limit, minPendingReplies)
+	}
 	c.pending.Add(1)
-	c.replies <- r
+	if c.replies.push(r, limit) {
+		go c.writeReplies()
+	}
 }
 
-// enqueueEncoded adds a reply that is already encoded.
+// enqueueEncoded adds a reply that is already encoded. If there is no memory for it, the command is rejected.
 func (c *conn) enqueueEncoded(encoded []byte) {
-	r := &reply{}
+	r := &reply{encoded: encoded}
+	if !c.reserve(r, int64(len(encoded))) {
+		c.server.countEvent(c, clientstats.RejectedMemory, "")
+		r.encoded = busyReply(c.server.lim.BusyRetryAfter)
+	}
 	c.enqueue(r)
-	r.encoded <- encoded
 }
 
-// serve executes the commands of a connection until the connection ends. redcon has already read the first command.
-func (c *conn) serve(first redcon.Command, commands redcon.DetachedConn) {
+// serve executes the commands of a connection until the connection ends.
+func (c *conn) serve() {
 	ctx, cancel := context.WithCancelCause(c.server.drain.base)
-	var requests, writer sync.WaitGroup
-	defer requests.Wait()
+	c.cancel = cancel
+	defer c.awaitSubmissions()
 	defer cancel(nil)
-	writer.Go(func() { c.writeReplies(cancel) })
 
-	err := c.executeAll(ctx, first, commands, &requests)
-	protocolFailure := isProtocolError(err)
+	err := c.executeAll(ctx)
+	c.reader.release()
+	malformed := isProtocolError(err) && !errors.Is(err, errCommandStalled) // more input may follow
+	if malformed {
+		c.server.countEvent(c, clientstats.ClosedMalformed, "")
+	}
 	switch {
-	case protocolFailure:
-		if !errors.Is(err, errCommandStalled) {
-			c.server.countEvent(c, clientstats.ClosedMalformed, "")
-		}
+	case isProtocolError(err):
 		c.enqueueEncoded([]byte("-ERR " + err.Error() + "\r\n"))
 	case !errors.Is(err, errIdle) && !errors.Is(err, errQuit):
 		cancel(core.ErrClientDisconnected) // end of stream or reset
 	}
-	close(c.replies)
-	writer.Wait()
+	c.replies.awaitEmpty()
 	disconnected := errors.Is(context.Cause(ctx), core.ErrClientDisconnected)
-	if protocolFailure || !disconnected && c.replyInTransit() {
+	if malformed || !disconnected && c.replyInTransit() {
 		// Input that arrives meanwhile is not executed; the client sends it to another broker.
 		socket.Linger(c.Conn, clock.Duration(c.server.lim.ClientLingerTimeout), c.server.lim.MaxMessageBytes)
 	}
 }
 
 // executeAll starts commands until the connection ends, and returns the reason as an error.
-func (c *conn) executeAll(ctx context.Context, first redcon.Command, commands redcon.DetachedConn, requests *sync.WaitGroup) error {
-	cmd := first
+func (c *conn) executeAll(ctx context.Context) error {
 	for {
-		if err := c.execute(ctx, cmd, requests); err != nil {
+		cmd, err := c.reader.next()
+		if err != nil {
 			return err
 		}
-		var err error
-		if cmd, err = commands.ReadCommand(); err != nil {
+		if err := c.execute(ctx, cmd); err != nil {
 			return err
 		}
 	}
 }
 
 // execute starts one command. If it returns an error, the connection ends after the pending replies.
-func (c *conn) execute(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) error {
+func (c *conn) execute(ctx context.Context, cmd redcon.Command) error {
+	if len(cmd.Args) == 0 {
+		c.server.countEvent(c, clientstats.RejectedMemory, "")
+		c.enqueueEncoded(busyReply(c.server.lim.BusyRetryAfter))
+		return nil
+	}
 	switch strings.ToUpper(string(cmd.Args[0])) {
 	case "PING":
 		if len(cmd.Args) > 1 {
@@ -128,7 +132,7 @@
 		c.enqueueEncoded([]byte(replyOK))
 		return errQuit
 	case "BLK.READ", "BLK.WRITE":
-		return c.startRequest(ctx, cmd, requests)
+		return c.startRequest(ctx, cmd)
 	default:
 		c.enqueueEncoded([]byte(replyUnknownCommand))
 	}
@@ -137,7 +141,7 @@
 
 // startRequest passes a request to the broker, or rejects it. It returns core.ErrClientDisconnected if the client has
 // disconnected.
-func (c *conn) startRequest(ctx context.Context, cmd redcon.Command, requests *sync.WaitGroup) error {
+func (c *conn) startRequest(ctx context.Context, cmd redcon.Command) error {
 	s := c.server
 	req, err := parseCommand(cmd.Args, s.schema, s.clock.Now())
 	if err != nil {
@@ -158,13 +162,13 @@
 		s.countEvent(c, clientstats.ClientLeft, id)
 		return core.ErrClientDisconnected
 	}
-	r := &reply{requestID: id}
+	r := &reply{requestID: id, ready: make(chan struct{})}
 	if !s.inFlight.addID(id) {
 		s.countEvent(c, clientstats.RejectedDuplicate, id)
 		c.enqueueEncoded([]byte(replyDuplicateID))
 		return nil
 	}
-	if !s.inFlight.reserve(r, int64(len(cmd.Raw))) {
+	if !c.reserve(r, int64(len(cmd.Raw)+requestOverheadBytes)) {
 		s.inFlight.remove(r)
 		s.countEvent(c, clientstats.RejectedMemory, id)
 		c.enqueueEncoded(busyReply(s.lim.BusyRetryAfter))
@@ -175,49 +179,65 @@
 		s.conns.countRequestConn()
 		s.conns.evictSurplus()
 	}
-	pending := s.broker.Submit(req) // here and not in the goroutine, to keep the order of the commands
-	requests.Go(func() {
-		encoded := encodeResponse(pending.Wait(ctx))
-		s.inFlight.addReply(r, int64(len(encoded)))
-		r.encoded <- encoded
-	})
+	c.submit(ctx, submission{request: req, reply: r})
 	return nil
 }
 
-// writeReplies sends the replies in the order of their commands. After a failed write it discards the remaining ones.
-func (c *conn) writeReplies(cancel context.CancelCauseFunc) {
-	s := c.server
-	writeFailed := false
-	for r := range c.replies {
-		encoded := <-r.encoded
-		if !writeFailed {
-			if err := c.write(encoded); err != nil {
-				writeFailed = true
-				if socket.IsTimeout(err) {
-					s.countEvent(c, clientstats.ClosedNotReading, r.requestID)
-				}
-				cancel(core.ErrClientDisconnected)
-				_ = c.Close() // ends the reader; its error adds nothing to that of the write
-			}
+// writeReplies sends the pending replies in the order of their commands. After a failed write it discards them.
+func (c *conn) writeReplies() {
+	for {
+		r, ok := c.replies.first()
+		if !ok {
+			return
 		}
-		s.inFlight.remove(r)
-		c.idleSince.Store(s.clock.Now())
+		if r.ready != nil {
+			<-r.ready
+		}
+		c.writeReply(r)
+		c.server.inFlight.remove(r)
+		c.releaseReply(r)
+		c.idleSince.Store(c.server.clock.Now())
+		c.replies.removeFirst()
 		if c.pending.Add(-1) == 0 {
-			if s.drain.listenerClosed.Load() {
+			if c.server.drain.listenerClosed.Load() {
 				c.reader.wake()
 			}
-			s.conns.evictSurplus() // earlier calls may have found all connections busy
+			c.server.conns.evictSurplus() // earlier calls may have found all connections busy
 		}
 	}
 }
 
+// writeReply sends one reply, unless an earlier one could not be sent.
+func (c *conn) writeReply(r *reply) {
+	if c.writeFailed.Load() {
+		return
+	}
+	c.writeBlockedSince.Store(c.server.clock.Now())
+	err := c.write(r)
+	c.writeBlockedSince.Store(0)
+	if err == nil || !c.writeFailed.CompareAndSwap(false, true) {
+		return
+	}
+	if socket.IsTimeout(err) {
+		c.server.countEvent(c, clientstats.ClosedNotReading, r.requestID)
+	}
+	c.cancel(core.ErrClientDisconnected)
+	_ = c.Close() // ends the reader; its error adds nothing to that of the write
+}
+
 // write sends one reply within Limits.ClientWriteTimeout.
-func (c *conn) write(encoded []byte) error {
+func (c *conn) write(r *reply) error {
 	timeout := clock.Duration(c.server.lim.ClientWriteTimeout)
 	if err := c.SetWriteDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	_, err := c.Write(encoded)
+	if _, err := c.Write(r.encoded); err != nil || r.value == nil {
+		return err
+	}
+	if _, err := c.Write(r.value); err != nil {
+		return err
+	}
+	_, err := c.Write([]byte("\r\n"))
 	return err
 }
 
--- a/internal/frontend/block/eviction.go
+++ b/internal/frontend/block/eviction.go
@@ -61,6 +61,15 @@
 	t.requestConns++
 }
 
+// closeAll closes all connections.
+func (t *connTable) closeAll() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.conns {
+		_ = c.Close() // ends its reader
+	}
+}
+
 // count returns the number of connections.
 func (t *connTable) count() int {
 	t.mu.Lock()
--- a/internal/frontend/block/idle.go
+++ b/internal/frontend/block/idle.go
@@ -14,13 +14,9 @@
 // errCommandStalled ends a connection whose client did not complete a command in time. Nothing of it was executed.
 var errCommandStalled error = &protocolError{reason: "the command did not come to its end in time"}
 
-// largeCommandBytes is the initial size of redcon's read buffer. If a larger command makes the buffer grow, redcon
-// keeps it until the connection ends.
-const largeCommandBytes = 4096
-
 // activity holds the state that a connection's timeouts and its eviction rank depend on. A time of 0 means never. The
-// connection's reader sets the fields about received bytes, and its writer those about replies. All fields except
-// largeBuffer may be read by any goroutine.
+// connection's reader sets the fields about received bytes, and its writer those about replies. All fields may be read by
+// any goroutine.
 type activity struct {
 	acceptedAt   clock.Micros
 	idleSince    clock.AtomicMicros // when the last reply was sent, or else when the connection was accepted
@@ -31,20 +27,22 @@
 	lastReadAt       clock.AtomicMicros
 	inCommand        atomic.Bool // a command has begun and is incomplete
 	commandStartedAt clock.AtomicMicros
-	largeBuffer      bool // a command has made redcon's buffer grow; used only by the reader
+
+	writeBlockedSince clock.AtomicMicros // since when a write has been waiting for the client; 0 if none is
+	inputBytes        atomic.Int64       // memory that is reserved for the incomplete command
+	heldBytes         atomic.Int64       // memory that is reserved for commands and replies
+	dropInput         atomic.Bool        // the memory of the incomplete command is needed for others
 }
 
-// recordRead records that bytes were received. inCommand tells whether they end within a command; largestCommand is the
-// size of the longest command so far.
-func (c *conn) recordRead(now clock.Micros, largestCommand int, inCommand bool) {
-	c.lastReadAt.Store(now)
+// recordRead records that bytes were received.
+func (c *conn) recordRead(now clock.Micros) { c.lastReadAt.Store(now) }
+
+// recordScan records whether the bytes that were scanned last end within a command.
+func (c *conn) recordScan(inCommand bool) {
 	if inCommand && !c.inCommand.Load() {
-		c.commandStartedAt.Store(now)
+		c.commandStartedAt.Store(c.lastReadAt.Load())
 	}
 	c.inCommand.Store(inCommand)
-	if largestCommand > largeCommandBytes {
-		c.largeBuffer = true
-	}
 }
 
 // nextIdleCheck returns the time at which the reader checks the client's timeouts next.
@@ -119,7 +117,7 @@
 	case c.lastReadAt.Load() == 0:
 		return now >= c.acceptedAt+lim.ClientFirstByteTimeout
 	}
-	return idle >= lim.ClientIdleTimeoutUnderPressure && (c.largeBuffer || c.server.conns.underPressure())
+	return idle >= lim.ClientIdleTimeoutUnderPressure && c.server.conns.underPressure()
 }
 
 // isClosing reports whether the connection is about to end.
--- a/internal/frontend/block/in_flight.go
+++ b/internal/frontend/block/in_flight.go
@@ -1,15 +1,9 @@
 package block
 
-import (
-	"sync"
-	"sync/atomic"
-)
+import "sync"
 
-// inFlight tracks the requests whose replies are not sent yet: their ids and the bytes of their commands and replies.
+// inFlight holds the ids of the requests whose replies are not sent yet.
 type inFlight struct {
-	maxBytes int64
-	bytes    atomic.Int64
-
 	mu  sync.Mutex
 	ids map[string]struct{}
 }
@@ -26,26 +20,8 @@
 	return true
 }
 
-// reserve counts a command's bytes until remove is called. It returns false if they would exceed the limit on bytes in
-// flight.
-func (f *inFlight) reserve(r *reply, size int64) bool {
-	if f.bytes.Add(size) > f.maxBytes {
-		f.bytes.Add(-size)
-		return false
-	}
-	r.bytes.Store(size)
-	return true
-}
-
-// addReply counts the bytes of a reply until remove is called. They count towards the limit but are never rejected.
-func (f *inFlight) addReply(r *reply, size int64) {
-	r.bytes.Add(size)
-	f.bytes.Add(size)
-}
-
-// remove unregisters a request whose reply was sent or discarded.
+// remove unregisters a request whose reply was sent or discarded. It has no effect for replies to other commands.
 func (f *inFlight) remove(r *reply) {
-	f.bytes.Add(-r.bytes.Load())
 	if r.requestID == "" {
 		return
 	}
--- a/internal/frontend/block/listener.go
+++ b/internal/frontend/block/listener.go
@@ -15,12 +15,12 @@
 	server *Server
 }
 
-// Accept returns the next client. It retries after temporary errors, on which redcon would loop without a delay. At the
-// connection limit it evicts an idle client, or waits if all are busy.
-func (l *listener) Accept() (net.Conn, error) {
+// accept returns the next client. It retries after temporary errors. At the connection limit it evicts an idle client, or
+// waits if all are busy. It returns an error once the listener is closed and a drain is over.
+func (l *listener) accept() (*conn, error) {
 	s := l.server
 	for {
-		nc, err := l.Listener.Accept()
+		nc, err := l.Accept()
 		if err == nil {
 			s.conns.freeSlot() // after accept: an idle client is evicted only for a client that has connected
 			c := newConn(s, nc)
@@ -30,7 +30,7 @@
 		if errors.Is(err, net.ErrClosed) {
 			s.drain.listenerClosed.Store(true)
 			if s.conns.draining.Load() {
-				<-s.drain.done // redcon closes all connections as soon as Accept fails
+				<-s.drain.done // clients are served until then
 			}
 			return nil, err
 		}
--- a/internal/frontend/block/reply.go
+++ b/internal/frontend/block/reply.go
@@ -17,18 +17,32 @@
 	replyDuplicateID    = "-ERR id: a request of that id is open\r\n"
 )
 
-// encodeResponse returns the RESP2 reply for a response. A value is forwarded exactly as the node sent it.
-func encodeResponse(r core.Response[[]byte]) []byte {
+// maxCopiedValueBytes is the size up to which a value is copied into its reply, which is then written at once. Larger
+// values are written on their own.
+const maxCopiedValueBytes = 4096
+
+// encodeResponse returns the RESP2 reply for a response. A value is forwarded exactly as the node sent it. If value is not
+// nil, it follows encoded and is followed by CRLF.
+func encodeResponse(r core.Response[[]byte]) (encoded, value []byte) {
 	switch r.Status {
 	case core.Success:
-		return bulkString(r.Value)
+		if len(r.Value) > maxCopiedValueBytes {
+			return bulkHeader(len(r.Value)), r.Value
+		}
+		return bulkString(r.Value), nil
 	case core.Rejection:
-		return busyReply(r.RetryAfter)
+		return busyReply(r.RetryAfter), nil
 	}
 	if r.DeadlineExceeded {
-		return []byte(replyTimedOut)
+		return []byte(replyTimedOut), nil
 	}
-	return []byte(replyFailed)
+	return []byte(replyFailed), nil
+}
+
+// bulkHeader returns the line before a bulk string of n bytes.
+func bulkHeader(n int) []byte {
+	out := strconv.AppendInt([]byte{'$'}, int64(n), 10)
+	return append(out, "\r\n"...)
 }
 
 // bulkString returns b as a RESP2 bulk string.
--- a/internal/frontend/block/scanner.go
+++ b/internal/frontend/block/scanner.go
@@ -24,8 +24,9 @@
 	return errors.As(err, &e)
 }
 
-// scanner validates a stream of RESP2 commands without buffering it. redcon's reader allocates any length that a client
-// announces, and discards complete commands that precede a malformed one. Therefore it is given only validated bytes.
+// scanner validates a stream of RESP2 commands without buffering it, so that commands can be handed to redcon one by one.
+// redcon's own reader allocates any length that a client announces, calls itself for each read within a command, keeps a
+// buffer that grows with the bytes of a flood, and discards complete commands that precede a malformed one.
 type scanner struct {
 	lim   *limits.Limits
 	state scanState
@@ -36,7 +37,6 @@
 	argsLeft    int // bulk strings of the current command that are not complete
 	bodyLeft    int // bytes of the current bulk string that have not been read
 	commandSize int // bytes of the current command that have been read
-	maxCommand  int // size of the longest complete command, in bytes
 }
 
 // scanState is the part of a command that the next byte belongs to.
@@ -54,37 +54,32 @@
 	scanBodyLF                        // the '\n' after that
 )
 
-// scan validates the next bytes of the stream. complete is the number of bytes up to the end of the last complete
-// command. After an error the scanner must not be used again.
-func (s *scanner) scan(b []byte) (complete int, err error) {
-	for i := 0; i < len(b); {
-		n := 1
+// scanCommand validates the next bytes of the stream up to the end of the current command. n is the number of bytes that it
+// has validated, and complete tells whether they end the command; if not, n is len(b). After an error the scanner must not
+// be used again.
+func (s *scanner) scanCommand(b []byte) (n int, complete bool, err error) {
+	for n < len(b) {
+		size := 1
 		if s.state == scanBody {
-			n = min(s.bodyLeft, len(b)-i)
+			size = min(s.bodyLeft, len(b)-n)
 		}
-		s.commandSize += n
+		s.commandSize += size
 		if s.commandSize > s.lim.MaxMessageBytes {
-			return complete, protocolErrorf("command over %d bytes", s.lim.MaxMessageBytes)
+			return n, false, protocolErrorf("command over %d bytes", s.lim.MaxMessageBytes)
 		}
 		if s.state == scanBody {
-			s.skipBody(n)
-		} else if err := s.step(b[i]); err != nil {
-			return complete, err
+			s.skipBody(size)
+		} else if err := s.step(b[n]); err != nil {
+			return n, false, err
 		}
-		i += n
-		if s.atCommandStart() {
-			complete = i
+		n += size
+		if s.state == scanCommandType {
+			return n, true, nil
 		}
 	}
-	return complete, nil
+	return n, false, nil
 }
 
-// atCommandStart reports whether the last byte ended a command.
-func (s *scanner) atCommandStart() bool { return s.state == scanCommandType }
-
-// largestCommand returns the size of the longest command so far in bytes, including the current incomplete one.
-func (s *scanner) largestCommand() int { return max(s.maxCommand, s.commandSize) }
-
 // skipBody skips n bytes of a bulk string.
 func (s *scanner) skipBody(n int) {
 	s.bodyLeft -= n
@@ -162,7 +157,6 @@
 		s.state = scanBulkType
 		s.argsLeft--
 		if s.argsLeft == 0 {
-			s.maxCommand = max(s.maxCommand, s.commandSize)
 			s.commandSize = 0
 			s.state = scanCommandType
 		}
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -8,11 +8,10 @@
 	"sync"
 	"time"
 
-	"github.com/tidwall/redcon"
-
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/limits"
+	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
 )
@@ -25,9 +24,7 @@
 
 // Server serves clients.
 //
-// redcon calls its handler on the goroutine that reads the connection. A handler that waited there for a response could
-// neither detect that the client disconnects nor start pipelined commands. Therefore the first command detaches the
-// connection from redcon's loop, and the handler serves the connection until it ends; see conn.
+// Commands are parsed by redcon, one by one; see scanner for why its reader and its server are not used.
 type Server struct {
 	broker   Broker
 	schema   *Schema
@@ -35,6 +32,7 @@
 	lim      *limits.Limits
 	log      *slog.Logger
 	conns    connTable
+	memory   *memory.Budget // for what clients make the process hold
 	inFlight inFlight
 	drain    drainState
 	stats    clientstats.Counters
@@ -43,8 +41,8 @@
 	listener net.Listener // nil before Serve
 }
 
-// New returns a server for at most maxConns simultaneous clients.
-func New(b Broker, schema *Schema, maxConns int, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Server {
+// New returns a server for at most maxConns simultaneous clients, which may make the process hold the bytes of budget.
+func New(b Broker, schema *Schema, maxConns int, budget *memory.Budget, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Server {
 	evictAbove := maxConns - maxConns/8
 	maxRequestConns := evictAbove
 	if lim.ClientIdleConns > 0 {
@@ -65,7 +63,8 @@
 			freed:           make(chan struct{}, 1),
 			conns:           map[*conn]struct{}{},
 		},
-		inFlight: inFlight{maxBytes: lim.MaxTotalBodyBytes, ids: map[string]struct{}{}},
+		memory:   budget,
+		inFlight: inFlight{ids: map[string]struct{}{}},
 		drain:    drainState{done: make(chan struct{})},
 	}
 	s.drain.base, s.drain.expire = context.WithCancelCause(context.Background())
@@ -75,32 +74,34 @@
 // Report logs what was done to clients every interval until ctx is done, if there is anything to tell.
 func (s *Server) Report(ctx context.Context, interval time.Duration) {
 	s.stats.Report(ctx, interval, s.log.With("frontend", "block"), func() []any {
-		return []any{"conns", s.conns.count(), "in_flight", s.inFlight.count(), "client_bytes", s.inFlight.bytes.Load()}
+		return []any{"conns", s.conns.count(), "in_flight", s.inFlight.count(), "client_bytes", s.memory.Used()}
 	})
 }
 
-// Serve accepts clients until the listener is closed.
+// Serve accepts clients until the listener is closed, and returns when their connections have ended. Unless the server is
+// draining, they are closed.
 func (s *Server) Serve(ln net.Listener) error {
 	s.mu.Lock()
 	s.listener = ln
 	s.mu.Unlock()
-	return redcon.Serve(&listener{Listener: ln, server: s}, handle, nil, handleClosed)
-}
-
-// handle serves a connection from its first command until the connection ends.
-func handle(rc redcon.Conn, first redcon.Command) {
-	c := rc.NetConn().(*conn)
-	c.serve(first, rc.Detach())
+	l := &listener{Listener: ln, server: s}
+	var serving sync.WaitGroup
+	defer serving.Wait()
+	for {
+		c, err := l.accept()
+		if err != nil {
+			s.conns.closeAll()
+			return err
+		}
+		serving.Go(func() { s.serveConn(c) })
+	}
 }
 
-// handleClosed is called by redcon after a connection has ended.
-func handleClosed(rc redcon.Conn, _ error) {
-	c, ok := rc.NetConn().(*conn)
-	if !ok {
-		return
-	}
+// serveConn serves a connection until it ends.
+func (s *Server) serveConn(c *conn) {
+	c.serve()
 	_ = c.Close() // it may be closed already
-	c.server.conns.remove(c)
+	s.conns.remove(c)
 }
 
 // countEvent counts and logs what was done to a client or to its request, whose id is empty if it is not known.
