--- a/internal/frontend/block/memory_test.go
+++ b/internal/frontend/block/memory_test.go
@@ -39,7 +39,7 @@
 	h.waitUntil("it has been incomplete for long", func() bool {
 		for c := range h.server.conns.conns {
 			if c.inputBytes.Load() > 0 {
-				c.commandStartedAt.Add(-hour)
+				c.commandStartedAt.Add(-hour / 2)
 				return true
 			}
 		}
