Block frontend: test of a connection's share of memory waits until both commands are read

TestOneConnectionCannotHoldAllMemory of hung once in 30 runs: the second command was read after the first one had been answered, and so was accepted.

--- a/internal/frontend/block/memory_test.go
+++ b/internal/frontend/block/memory_test.go
@@ -64,6 +64,12 @@
 		send(c, readCommand(id))
 	}
 	<-h.broker.requests
+	h.waitUntil("both commands have been read", func() bool {
+		for serverConn := range h.server.conns.conns {
+			return serverConn.pending.Load() == 2
+		}
+		return false
+	})
 	other, otherIn := h.dial()
 	h.roundTrip(other, otherIn)
 	h.broker.response("a") <- success("v")
