Block frontend: clients that get many free answers are slowed down

What callers saw: while one client sent PINGs, unknown commands or unsound requests at full speed on one connection, other clients' answers took 50 to 400 ms in place of 2, and seconds where the processor was also busy with the heap; with 320 such clients usual requests were lost.

Cause: errors, rejections and PINGs are answered without a node, so nothing but the processor limits their rate. While the run queue of the Go runtime is never empty it looks at the network only every 10 ms, and each goroutine that always has input may run for 10 ms at a time: with one flooding connection each step of another request waits up to 10 ms, with 320 of them up to 3.2 s. Latencies of nodes are then measured too long, and the module rejects requests that could be served.

Change: internal/frontend/pacing counts free answers, a large request as several. A connection waits before its next command is read. Requests that a node serves are not counted.

--- a/internal/broker/limits/limits.go
+++ b/internal/broker/limits/limits.go
@@ -23,6 +23,7 @@
 	MaxArgs           int   `json:"max_args"`     // arguments of one command
 	MaxValueBytes     int   `json:"max_value"`    // size of one value in a request or a response
 	MaxID             int   `json:"max_id"`       // length of a request's ID
+	MaxParamCount     int   `json:"max_names"`    // names in a command's list
 	MaxParams         int   `json:"max_params"`   // length of a command's list of names and values
 
 	// Client connections.
@@ -33,6 +34,8 @@
 	ClientIdleTimeoutUnderPressure clock.Micros `json:"client_lull"`   // client_idle if descriptors or memory are scarce
 	ClientIdleConns                int          `json:"client_keep"`   // idle connections kept; the longest idle are closed first
 	ClientIdleTimeout              clock.Micros `json:"client_idle"`   // between two commands
+	FreeAnswersPerSecond           int          `json:"free_rate"`     // errors and rejections of all clients that get more than their burst
+	FreeAnswerBurst                int          `json:"free_burst"`    // errors and rejections that one client gets at once
 	ClientLingerTimeout            clock.Micros `json:"client_linger"` // after a close whose last response may not have arrived
 
 	// Responses.
--- a/internal/broker/server/server.go
+++ b/internal/broker/server/server.go
@@ -20,6 +20,7 @@
 	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/block"
 	"poppyarch/internal/frontend/object"
+	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/nodes/discovery"
 	"poppyarch/internal/observability/record"
 	"poppyarch/internal/timing/clock"
@@ -146,13 +147,14 @@
 		nodeConns /= 2
 	}
 	budget := memory.NewBudget(limits.MaxTotalBodyBytes)
+	pacer := pacing.NewLimiter(limits.FreeAnswersPerSecond, limits.FreeAnswerBurst)
 	frontends := map[string]frontend{}
 	if b.cfg.Listen != "" {
 		backend := blockstore.New(b.startPool(ctx, nodeConns), b.clock, limits)
 		requests := core.NewBroker(b.dispatcher, b.endpoints, b.limiter, backend, b.clock, limits)
 		requests.SetRecorder(b.recording.requests())
 		schema := block.NewSchema(&b.cfg.Policy, b.cfg.Shards, limits)
-		f := block.New(requests, schema, clientConns, budget, b.clock, limits, b.log)
+		f := block.New(requests, schema, block.Options{MaxConns: clientConns, Memory: budget, Pacing: pacer}, b.clock, limits, b.log)
 		b.background.Go(func() { f.Report(ctx, clientReportInterval) })
 		frontends[b.cfg.Listen] = f
 	}
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -12,6 +12,7 @@
 
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/frontend/clientstats"
+	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
 	"poppyarch/internal/transport/socket"
 )
@@ -33,6 +34,7 @@
 	server      *Server
 	reader      commandReader
 	replies     *replyQueue
+	pace        *pacing.Client
 	submissions submissions
 	cancel      context.CancelCauseFunc // ends the requests; set by serve
 	writeFailed atomic.Bool             // a reply could not be sent
@@ -45,6 +47,7 @@
 		activity: activity{acceptedAt: now},
 		server:   s,
 		replies:  newReplyQueue(),
+		pace:     s.pacing.NewClient(now),
 	}
 	c.reader = commandReader{net: nc, clock: s.clock, client: c, scanner: scanner{lim: s.lim}}
 	c.idleSince.Store(now)
@@ -64,8 +67,10 @@
 	}
 }
 
-// enqueueEncoded adds a reply that is already encoded. If there is no memory for it, the command is rejected.
+// enqueueEncoded adds a reply that is already encoded, which is a free answer. If there is no memory for it, the command is
+// rejected.
 func (c *conn) enqueueEncoded(encoded []byte) {
+	c.pace.CountFreeAnswer(c.server.clock.Now(), c.reader.commandBytes)
 	r := &reply{encoded: encoded}
 	if !c.reserve(r, int64(len(encoded))) {
 		c.server.countEvent(c, clientstats.RejectedMemory, "")
@@ -104,6 +109,7 @@
 // executeAll starts commands until the connection ends, and returns the reason as an error.
 func (c *conn) executeAll(ctx context.Context) error {
 	for {
+		c.awaitTurn() // before the command is read: it would hold memory meanwhile
 		cmd, err := c.reader.next()
 		if err != nil {
 			return err
@@ -114,6 +120,19 @@
 	}
 }
 
+// awaitTurn makes a client wait that has had many free answers.
+func (c *conn) awaitTurn() {
+	for {
+		delay := c.pace.BeginWait(c.server.clock.Now())
+		if delay == 0 {
+			return
+		}
+		c.server.stats.Count(clientstats.Delayed)
+		time.Sleep(delay)
+		c.pace.EndWait()
+	}
+}
+
 // execute starts one command. If it returns an error, the connection ends after the pending replies.
 func (c *conn) execute(ctx context.Context, cmd redcon.Command) error {
 	if len(cmd.Args) == 0 {
--- a/internal/frontend/block/drain_random_test.go
+++ b/internal/frontend/block/drain_random_test.go
@@ -14,7 +14,6 @@
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
-	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/testkit/fake"
 	"poppyarch/internal/timing/clock"
 )
@@ -98,7 +97,7 @@
 		random := rand.New(rand.NewPCG(seed, uint64(round)))
 		ln := &countingListener{Listener: listen(t)}
 		broker := &countingBroker{}
-		s := New(broker, testSchema(lim), maxConns, memory.NewBudget(lim.MaxTotalBodyBytes), clock.New(), lim, slog.New(slog.DiscardHandler))
+		s := New(broker, testSchema(lim), testOptions(lim, maxConns), clock.New(), lim, slog.New(slog.DiscardHandler))
 		served := make(chan struct{})
 		go func() {
 			defer close(served)
--- a/internal/frontend/block/eviction_order_test.go
+++ b/internal/frontend/block/eviction_order_test.go
@@ -13,7 +13,6 @@
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
-	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -43,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const maxConns = 3
 		lim := testLimits()
-		s := New(immediateBroker{}, testSchema(lim), maxConns, memory.NewBudget(lim.MaxTotalBodyBytes), clock.New(), lim, slog.New(slog.DiscardHandler))
+		s := New(immediateBroker{}, testSchema(lim), testOptions(lim, maxConns), clock.New(), lim, slog.New(slog.DiscardHandler))
 		listener := &pipeListener{conns: make(chan net.Conn)}
 		served := make(chan struct{})
 		go func() {
--- a/internal/frontend/block/harness_test.go
+++ b/internal/frontend/block/harness_test.go
@@ -16,6 +16,7 @@
 	"poppyarch/internal/broker/decision"
 	"poppyarch/internal/broker/limits"
 	"poppyarch/internal/broker/memory"
+	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -36,6 +37,7 @@
 		MaxPendingReplies:              64,
 		MaxTotalBodyBytes:              1 << 20,
 		MaxID:                          16,
+		MaxParamCount:                  64,
 		MaxParams:                      200,
 		ClientWriteTimeout:             clock.FromDuration(testTimeout),
 		ClientFirstByteTimeout:         hour,
@@ -49,6 +51,14 @@
 	}
 }
 
+func testOptions(lim *limits.Limits, maxConns int) Options {
+	return Options{
+		MaxConns: maxConns,
+		Memory:   memory.NewBudget(lim.MaxTotalBodyBytes),
+		Pacing:   pacing.NewLimiter(1000, 1000),
+	}
+}
+
 func testSchema(lim *limits.Limits) *Schema {
 	cfg := &decision.Config{
 		Classes:  []decision.Class{{Name: "read"}, {Name: "new", Idempotency: decision.NotIdempotent}},
@@ -121,7 +131,7 @@
 		cancelled: make(chan string, 64),
 		responses: map[string]chan core.Response[[]byte]{},
 	}
-	s := New(b, testSchema(lim), maxConns, memory.NewBudget(lim.MaxTotalBodyBytes), clock.New(), lim, slog.New(slog.DiscardHandler))
+	s := New(b, testSchema(lim), testOptions(lim, maxConns), clock.New(), lim, slog.New(slog.DiscardHandler))
 	ln := listen(t)
 	serveOn := ln
 	if intercept != nil {
--- a/internal/frontend/block/order_test.go
+++ b/internal/frontend/block/order_test.go
@@ -12,7 +12,6 @@
 
 	"poppyarch/internal/backend/blockstore"
 	"poppyarch/internal/broker/core"
-	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -68,7 +67,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := &slowFirstBroker{acceptFirst: make(chan struct{})}
 		lim := testLimits()
-		s := New(b, testSchema(lim), 4, memory.NewBudget(lim.MaxTotalBodyBytes), clock.New(), lim, slog.New(slog.DiscardHandler))
+		s := New(b, testSchema(lim), testOptions(lim, 4), clock.New(), lim, slog.New(slog.DiscardHandler))
 		client, serverSide := net.Pipe()
 		listener := &pipeListener{conns: make(chan net.Conn, 1)}
 		listener.conns <- serverSide
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -32,10 +32,11 @@
 	client  *conn // provides the timeouts and the memory
 	scanner scanner
 
-	chunk   [chunkBytes]byte
-	unread  []byte // the part of chunk that has not been scanned
-	partial []byte // the beginning of a command whose end is not in chunk; its capacity is reserved
-	dropped bool   // there was no memory for the current command: its bytes are validated and discarded
+	chunk        [chunkBytes]byte
+	unread       []byte // the part of chunk that has not been scanned
+	partial      []byte // the beginning of a command whose end is not in chunk; its capacity is reserved
+	commandBytes int    // size of the last command
+	dropped      bool   // there was no memory for the current command: its bytes are validated and discarded
 
 	failed atomic.Bool // a protocol error has been found
 	woken  atomic.Bool // wake was called and has not been handled yet
@@ -81,6 +82,9 @@
 	bytes := r.unread[:n]
 	r.unread = r.unread[n:]
 	r.client.recordScan(!complete)
+	if complete {
+		r.commandBytes = len(r.partial) + n
+	}
 	if complete && len(r.partial) == 0 {
 		return append([]byte(nil), bytes...), nil
 	}
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -13,6 +13,7 @@
 	"poppyarch/internal/broker/limits"
 	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/clientstats"
+	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
 )
 
@@ -32,7 +33,8 @@
 	lim      *limits.Limits
 	log      *slog.Logger
 	conns    connTable
-	memory   *memory.Budget // for what clients make the process hold
+	memory   *memory.Budget
+	pacing   *pacing.Limiter
 	inFlight inFlight
 	drain    drainState
 	stats    clientstats.Counters
@@ -41,8 +43,16 @@
 	listener net.Listener // nil before Serve
 }
 
-// New returns a server for at most maxConns simultaneous clients, which may make the process hold the bytes of budget.
-func New(b Broker, schema *Schema, maxConns int, budget *memory.Budget, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Server {
+// Options are what the clients of a server may take up.
+type Options struct {
+	MaxConns int             // simultaneous clients
+	Memory   *memory.Budget  // for what clients make the process hold
+	Pacing   *pacing.Limiter // of free answers
+}
+
+// New returns a server.
+func New(b Broker, schema *Schema, o Options, c *clock.Clock, lim *limits.Limits, log *slog.Logger) *Server {
+	maxConns := o.MaxConns
 	evictAbove := maxConns - maxConns/8
 	maxRequestConns := evictAbove
 	if lim.ClientIdleConns > 0 {
@@ -63,7 +73,8 @@
 			freed:           make(chan struct{}, 1),
 			conns:           map[*conn]struct{}{},
 		},
-		memory:   budget,
+		memory:   o.Memory,
+		pacing:   o.Pacing,
 		inFlight: inFlight{ids: map[string]struct{}{}},
 		drain:    drainState{done: make(chan struct{})},
 	}
--- a/internal/frontend/block/submission.go
+++ b/internal/frontend/block/submission.go
@@ -68,6 +68,9 @@
 
 // finish sets the reply to a request.
 func (c *conn) finish(r *reply, resp core.Response[[]byte]) {
+	if resp.Status == core.Rejection {
+		c.pace.CountFreeAnswer(c.server.clock.Now(), 0)
+	}
 	r.encoded, r.value = encodeResponse(resp)
 	c.addBytes(r, int64(len(r.encoded)+len(r.value)))
 	close(r.ready)
