Block frontend: many short names and requests in flight stay within small memory

What callers saw: with 32 MB, 320 clients that sent reads with lists of some 170 names of two letters took 72.8 to 125.7 MB, and the broker was killed.

Cause: a list of 1,024 bytes may hold some 250 names. Each became a 32-byte entry and one in a map, which stayed with the request, while only the command's bytes were counted. And 4,096 requests may be in flight whatever the memory: each has a goroutine, timers and the module's state, about 16 KB, 64 MB in all.

A volume's name no longer keeps the whole list alive.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -21,7 +21,10 @@
 	defaultSockets  = 1024
 	minMemoryMB     = 32
 	minSockets      = 64
-	ownDescriptors  = 32 // for the runtime, standard streams, listeners and discovery
+	mostInFlight    = 4096
+	requestBytes    = 16 << 10 // that a request in flight takes, apart from its message
+	inFlightShare   = 4        // the part of the memory for requests in flight, as a divisor
+	ownDescriptors  = 32       // for the runtime, standard streams, listeners and discovery
 )
 
 // The platform sends SIGKILL after a grace period that follows from the longest deadline.
@@ -86,7 +89,7 @@
 		ClientConns: freeDescriptors * 2 / 3,
 		NodeConns:   freeDescriptors / 3,
 
-		MaxInFlight:                    4096,
+		MaxInFlight:                    int(min(memoryBytes/inFlightShare/requestBytes, mostInFlight)),
 		MaxTotalBodyBytes:              memoryBytes / 6,
 		MaxPipeline:                    128,
 		MaxPendingReplies:              1024,
--- a/internal/frontend/block/command.go
+++ b/internal/frontend/block/command.go
@@ -127,12 +127,15 @@
 	if len(args[3]) > lim.MaxParams {
 		return &commandError{"fields", fmt.Sprintf("over %d bytes", lim.MaxParams)}
 	}
+	if bytes.Count(args[3], []byte(",")) >= lim.MaxParamCount {
+		return &commandError{"fields", fmt.Sprintf("over %d", lim.MaxParamCount)}
+	}
 	return nil
 }
 
 // parseParams sets a request's attributes from a parameter list of the form name=value,name=value.
 func parseParams(req *request, list string, schema *Schema, now clock.Micros) error {
-	seen := map[string]bool{}
+	seen := make(map[string]bool, len(requiredParams))
 	for _, param := range strings.Split(list, ",") {
 		name, value, ok := strings.Cut(param, "=")
 		if !ok || name == "" || seen[name] || !isVisibleASCII(param) {
@@ -161,7 +164,7 @@
 	case paramPlan:
 		req.Plan, ok = schema.plans[value]
 	case paramVolume:
-		req.Volume = value
+		req.Volume = strings.Clone(value) // it may be kept for long, and the list need not be
 		ok = isHex16(value)
 	case paramDeadline:
 		var ms float64
