HTTP server: a client that stops within a request holds neither its connection nor an answer

Cause: reads of a body had no deadline once the handler had given up; before it writes an answer, and once more after it, net/http reads up to 256 KiB of a body that the handler has not read; the head of a request on a kept connection has no deadline before its fourth byte; and at the connection limit only idle connections gave way, looked for when one changed its state and not when time alone made one idle.

Change: Options.HeadTimeout counts from the first byte of a request, StallTimeout between two reads of its body. An answer to a body that has not arrived closes the connection and gives its client LingerTimeout to go on. MaxHeaderFields limits the lines of a head: what Go builds from them takes many times their bytes. Clients of free answers are slowed down as those of the block frontend (pacing moves to internal/timing for that).

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -12,8 +12,8 @@
 
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/frontend/clientstats"
-	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 	"poppyarch/internal/transport/socket"
 )
 
--- a/internal/frontend/block/harness_test.go
+++ b/internal/frontend/block/harness_test.go
@@ -16,8 +16,8 @@
 	"poppyarch/internal/broker/decision"
 	"poppyarch/internal/broker/limits"
 	"poppyarch/internal/broker/memory"
-	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 )
 
 // testTimeout is how long a test waits for an expected event.
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -13,8 +13,8 @@
 	"poppyarch/internal/broker/limits"
 	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/clientstats"
-	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 )
 
 // Broker executes requests, those of ordered classes in the order of the calls of Submit. Submit does not wait for the
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 	"poppyarch/internal/transport/socket"
 )
 
@@ -23,29 +24,38 @@
 	net.Conn
 	server *Server
 
+	pace *pacing.Client // nil if the client is not slowed down
+
 	// Guarded by the server's mu.
 	state      http.ConnState
 	stateSince clock.Micros
 
 	mu           sync.Mutex // may be locked while the server's mu is held, not the other way round
 	mode         endMode
-	evicted      bool      // to be closed for another client, unless a request arrives
-	busy         bool      // a request has been read completely, up to its body, and is not answered yet
-	requestBegun bool      // part of the next request has been read
-	readDeadline time.Time // as net/http has set it
-	interrupted  bool      // pastDeadline is in force in place of readDeadline
+	evicted      bool // to be closed for another client, unless a request arrives
+	busy         bool // a request has been read completely, up to its body, and is not answered yet
+	requestBegun bool // part of the next request has been read
+	readingBody  bool // the handler waits for more of the body
+	cutOff       bool // to be closed for another client, unless more of its request arrives
+	lastReadAt   clock.Micros
+	readDeadline time.Time // as net/http or the handler has set it
+	partDeadline time.Time // by which more of the request must have arrived; zero if nothing is awaited
+	interrupted  bool      // pastDeadline is in force in place of the others
 	ended        bool      // Read has ended the connection: nothing more is read or written
 	input        requestInput
 }
 
+// errTooManyFields ends a connection whose request has too many header fields. net/http answers it with status 400.
+var errTooManyFields = errors.New("httpserver: too many header fields")
+
 // Read reads from the client. While the connection is to end, it reads only bytes that have already arrived.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readArrived(b, err)
 	}
-	if n > 0 {
-		c.recordRead(b[:n])
+	if n > 0 && !c.recordRead(b[:n]) {
+		return 0, errTooManyFields
 	}
 	return n, err
 }
@@ -59,7 +69,7 @@
 		return 0, timeout
 	}
 	if c.ended || socket.Peek(c.Conn) != socket.Readable {
-		c.ended = true
+		c.ended = !c.busy // a request whose body does not come is answered
 		return 0, timeout
 	}
 	c.interrupted = false
@@ -67,7 +77,7 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(b) // does not block
-	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	_ = c.Conn.SetReadDeadline(c.deadline())
 	return n, err
 }
 
@@ -86,24 +96,86 @@
 	return c.ended
 }
 
-// recordRead records bytes that net/http has read. A connection that was to be evicted is kept for them.
-func (c *conn) recordRead(b []byte) {
+// recordRead records bytes that net/http has read. A connection that was to be closed for another client is kept for them.
+// It returns false if the head of the request has too many fields.
+func (c *conn) recordRead(b []byte) bool {
 	c.mu.Lock()
-	keep := c.evicted && !c.busy
-	if !c.busy && (!c.requestBegun || keep) {
+	keep := c.cutOff || c.evicted && !c.busy
+	c.lastReadAt = c.server.clock.Now()
+	if !c.busy && !c.requestBegun {
 		c.requestBegun = true
+		c.awaitPart(c.server.opts.HeadTimeout)
+	}
+	if keep {
 		c.evicted = false
-		c.updateReadDeadline()
+		c.cutOff = false
 	}
+	c.updateReadDeadline()
 	c.input.read(b)
+	maxFields := c.server.opts.MaxHeaderFields
+	ok := c.busy || maxFields == 0 || c.input.headLines <= maxFields
 	c.mu.Unlock()
 	if keep {
 		c.server.notify() // another connection may have to be evicted
 	}
+	return ok
+}
+
+// awaitPart sets the time by which more of the request must arrive; 0 sets no limit. The caller holds mu.
+func (c *conn) awaitPart(timeout time.Duration) {
+	c.partDeadline = time.Time{}
+	if timeout > 0 {
+		c.partDeadline = time.Now().Add(timeout)
+	}
+	if !c.interrupted {
+		_ = c.Conn.SetReadDeadline(c.deadline()) // fails only on a closed connection, whose reads fail too
+	}
+}
+
+// deadline returns the deadline of reads while the connection need not end. The caller holds mu.
+func (c *conn) deadline() time.Time {
+	if c.partDeadline.IsZero() || !c.readDeadline.IsZero() && c.readDeadline.Before(c.partDeadline) {
+		return c.readDeadline
+	}
+	return c.partDeadline
+}
+
+// setReadingBody records that the handler begins or ends a read of the body. More of it must arrive in time.
+func (c *conn) setReadingBody(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody = reading
+	c.cutOff = false
+	timeout := time.Duration(0)
+	if reading {
+		c.lastReadAt = c.server.clock.Now()
+		timeout = c.server.opts.StallTimeout
+	}
+	c.awaitPart(timeout)
+	c.updateReadDeadline()
+}
+
+// waitsSince returns since when the connection has waited for more of a request whose beginning has been read. ok is false
+// if it does not wait for that.
+func (c *conn) waitsSince() (since clock.Micros, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastReadAt, !c.ended && !c.cutOff && (c.readingBody || c.requestBegun && !c.busy)
+}
+
+// cut makes a connection end that waits for more of a request, unless more has arrived.
+func (c *conn) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cutOff = true
+	c.updateReadDeadline()
 }
 
 // mustEnd reports whether the connection ends unless bytes have arrived. The caller holds mu.
 func (c *conn) mustEnd() bool {
+	if c.cutOff {
+		return true
+	}
 	if c.busy {
 		return false
 	}
@@ -118,7 +190,7 @@
 		return
 	}
 	c.interrupted = interrupt
-	deadline := c.readDeadline
+	deadline := c.deadline()
 	if interrupt {
 		deadline = pastDeadline
 	}
@@ -133,7 +205,7 @@
 	if c.interrupted {
 		return nil
 	}
-	return c.Conn.SetReadDeadline(t)
+	return c.Conn.SetReadDeadline(c.deadline())
 }
 
 // SetDeadline sets the deadlines of reads and writes.
@@ -182,12 +254,19 @@
 func (c *conn) setBusy(busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	timeout := time.Duration(0)
 	if c.busy && !busy {
 		c.input.endRequest()
+		if c.input.pipelined {
+			timeout = c.server.opts.HeadTimeout // part of the next request may have been read
+		}
 	}
 	c.busy = busy
 	c.requestBegun = false
 	c.evicted = false
+	c.cutOff = false
+	c.input.headLines = 0
+	c.awaitPart(timeout)
 	c.updateReadDeadline()
 }
 
@@ -215,6 +294,14 @@
 	return c.Conn.Close()
 }
 
+// CloseWrite closes the sending side. net/http calls it before it closes a connection whose input it has not read.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // SyscallConn lets package socket inspect the connection.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
@@ -224,6 +311,30 @@
 	return sc.SyscallConn()
 }
 
+// awaitTurn makes a client wait that has had many free answers.
+func (c *conn) awaitTurn() {
+	if c.pace == nil {
+		return
+	}
+	for {
+		delay := c.pace.BeginWait(c.server.clock.Now())
+		if delay == 0 {
+			return
+		}
+		time.Sleep(delay)
+		c.pace.EndWait()
+	}
+}
+
+// CountFreeAnswer records that the request of a context, with the given size in bytes, is answered without any work for it.
+// A client that gets many such answers is made to wait before its next request.
+func CountFreeAnswer(ctx context.Context, requestBytes int) {
+	nc, _ := ConnOf(ctx)
+	if c, ok := nc.(*conn); ok && c.pace != nil {
+		c.pace.CountFreeAnswer(c.server.clock.Now(), requestBytes)
+	}
+}
+
 type connKey struct{}
 
 // contextWithConn adds a request's connection to its context.
--- a/internal/transport/httpserver/handler.go
+++ b/internal/transport/httpserver/handler.go
@@ -1,6 +1,17 @@
 package httpserver
 
-import "net/http"
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+const (
+	// maxRestBytes is the size of an unread body that may be read to keep its connection, and restTimeout the time for it.
+	maxRestBytes = 4096
+	restTimeout  = 10 * time.Millisecond
+)
 
 // handler passes requests to the next handler.
 type handler struct {
@@ -15,13 +26,49 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
+	c.awaitTurn()
 	c.beginRequest(r.ContentLength)
-	h.next.ServeHTTP(&responseWriter{ResponseWriter: w, conn: c}, r)
+	body := &requestBody{ReadCloser: r.Body, conn: c, left: r.ContentLength}
+	r.Body = body
+	h.next.ServeHTTP(&responseWriter{ResponseWriter: w, request: r, body: body, conn: c}, r)
+}
+
+// requestBody is the body of a request. Each read of it must return bytes within the server's StallTimeout.
+type requestBody struct {
+	io.ReadCloser
+	conn *conn
+	left int64 // bytes that have not been read; negative if the length is not known
+}
+
+func (b *requestBody) Read(p []byte) (int, error) {
+	b.conn.setReadingBody(true)
+	n, err := b.ReadCloser.Read(p)
+	b.conn.setReadingBody(false)
+	if b.left > 0 {
+		b.left -= int64(n)
+	}
+	if errors.Is(err, io.EOF) {
+		b.left = 0
+	}
+	return n, err
+}
+
+// readRest reads the rest of a short body that has arrived already, and reports whether the body has been read to its end.
+func (b *requestBody) readRest(r *http.Request) bool {
+	if b.left > 0 && b.left <= maxRestBytes && r.Header.Get("Expect") == "" {
+		_ = b.conn.SetReadDeadline(time.Now().Add(restTimeout)) // fails only on a closed connection
+		_, _ = io.CopyN(io.Discard, b, b.left)
+		_ = b.conn.SetReadDeadline(time.Time{})
+	}
+	return b.left == 0
 }
 
-// responseWriter adds "Connection: close" to the response if its connection ends after it.
+// responseWriter adds "Connection: close" to the response if its connection ends after it: in a drain, or if the rest of the
+// request's body has not arrived.
 type responseWriter struct {
 	http.ResponseWriter
+	request     *http.Request
+	body        *requestBody
 	conn        *conn
 	wroteHeader bool // the header of the final response has been written
 }
@@ -33,6 +80,11 @@
 		if w.conn.announcesEnd() {
 			w.Header().Set("Connection", "close")
 		}
+		if !w.body.readRest(w.request) {
+			// net/http would read the rest before it writes the response, and again after that.
+			w.Header().Set("Connection", "close")
+			_ = w.conn.SetReadDeadline(time.Now().Add(w.conn.server.opts.LingerTimeout)) // fails only on a closed connection
+		}
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
--- a/internal/transport/httpserver/input.go
+++ b/internal/transport/httpserver/input.go
@@ -4,6 +4,7 @@
 // and does not tell.
 type requestInput struct {
 	headEnded  bool
+	headLines  int   // lines of the head so far; an upper bound if earlier requests were read together with this one
 	lineEmpty  bool  // the current line of the head has no characters so far and is not the first one
 	behindHead int64 // bytes read behind the head
 	bodySize   int64 // size of the body; negative if it is not known
@@ -17,6 +18,9 @@
 		return
 	}
 	for i, c := range b {
+		if c == '\n' {
+			in.headLines++
+		}
 		switch {
 		case c == '\n' && in.lineEmpty:
 			in.headEnded = true
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 )
 
 // Options configure a Server. The zero value sets no limit.
@@ -28,6 +29,14 @@
 	// DeliveryTimeout how long in all.
 	LingerTimeout   time.Duration
 	DeliveryTimeout time.Duration
+	// HeadTimeout is the time from the first byte of a request to the end of its head, and StallTimeout that between two
+	// reads of its body.
+	HeadTimeout  time.Duration
+	StallTimeout time.Duration
+	// MaxHeaderFields limits the lines of a request's head.
+	MaxHeaderFields int
+	// Pacing slows down clients for which CountFreeAnswer is called often; nil slows none down.
+	Pacing *pacing.Limiter
 }
 
 // endMode tells which connections end, apart from those that are evicted. Each mode includes the ones before it.
