Object frontend: bodies, heads and connections stay within small memory; stalled requests end

Cause: a body's memory was counted and taken as the client announced it, so that a few clients that sent nothing of it kept others out; heads were not counted at all; nothing ended a body before its class's deadline of up to 20 s; connections were limited by descriptors only, at some 16 KB each; the collector's limit of 0.6 of memory_mb left the 13 MB of the program's file out of account.

Change: memory for a body is taken as it arrives, for a head as it is; both from the budget that the block frontend uses. A head has 128 lines at most (max_fields), a query 16 names. client_conns and max_open also follow memory_mb: a fifth and a sixth of it at 16 KB each (409 and 341 with 32 MB; from 52 MB on descriptors decide as before; 2,048 requests with 192 MB). Free answers are paced.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -23,7 +23,10 @@
 	minSockets      = 64
 	mostInFlight    = 4096
 	requestBytes    = 16 << 10 // that a request in flight takes, apart from its message
-	inFlightShare   = 4        // the part of the memory for requests in flight, as a divisor
+	connBytes       = 16 << 10 // that a client connection takes, apart from what it sends and gets
+	programBytes    = 13 << 20 // of the program's file, which count as memory of the process
+	inFlightShare   = 6        // the part of the memory for requests in flight, as a divisor
+	connShare       = 5        // the part of the memory for client connections, as a divisor
 	ownDescriptors  = 32       // for the runtime, standard streams, listeners and discovery
 )
 
@@ -84,9 +87,9 @@
 	freeDescriptors := m.Sockets - ownDescriptors
 	return &limits.Limits{
 		Procs:       max(int(m.Cores), 1),
-		MemoryBytes: memoryBytes * 6 / 10,
+		MemoryBytes: min(memoryBytes*6/10, (memoryBytes-programBytes)*8/10),
 		Descriptors: m.Sockets,
-		ClientConns: freeDescriptors * 2 / 3,
+		ClientConns: min(freeDescriptors*2/3, int(memoryBytes/connShare/connBytes)),
 		NodeConns:   freeDescriptors / 3,
 
 		MaxInFlight:                    int(min(memoryBytes/inFlightShare/requestBytes, mostInFlight)),
@@ -127,15 +130,17 @@
 		MaxListBytes:         4 << 20,
 		MaxListEndpoints:     10000,
 
-		MaxObjectBytes:     16 << 20,
-		MaxHeaderBytes:     16 << 10,
-		ObjectBufferBytes:  64 << 10,
-		MaxParts:           10000,
-		ObjectIdleTimeout:  60 * second,
-		ObjectStallTimeout: 10 * second,
-		MaxCompletionBytes: 1 << 20,
-		ReadBackTime:       second,
-		ReadBackInterval:   100 * millisecond,
+		MaxObjectBytes:       16 << 20,
+		MaxHeaderBytes:       16 << 10,
+		MaxHeaderFields:      128,
+		ObjectBufferBytes:    64 << 10,
+		MaxParts:             10000,
+		ObjectIdleTimeout:    60 * second,
+		ObjectStallTimeout:   10 * second,
+		ObjectReceiveTimeout: 2*second + 500*millisecond,
+		MaxCompletionBytes:   1 << 20,
+		ReadBackTime:         second,
+		ReadBackInterval:     100 * millisecond,
 	}
 }
 
@@ -245,6 +250,8 @@
 		{"list_told", int64(l.NotificationDeadline)},
 		{"max_object", l.MaxObjectBytes},
 		{"object_buffer", int64(l.ObjectBufferBytes)},
+		{"max_fields", int64(l.MaxHeaderFields)},
+		{"object_receive", int64(l.ObjectReceiveTimeout)},
 		{"object_stall", int64(l.ObjectStallTimeout)},
 	}
 }
--- a/internal/broker/limits/limits.go
+++ b/internal/broker/limits/limits.go
@@ -72,13 +72,16 @@
 	MaxListEndpoints     int          `json:"max_list_rows"` // entries of one response
 
 	// The object frontend.
-	MaxObjectBytes     int64        `json:"max_object"`      // body of one PUT request or one part
-	MaxHeaderBytes     int          `json:"max_head"`        // request line and headers
-	ObjectBufferBytes  int          `json:"object_buffer"`   // bytes of a response buffered before the first one is sent
-	MaxParts           int          `json:"max_parts"`       // parts of one upload
-	ObjectIdleTimeout  clock.Micros `json:"object_idle"`     // an idle HTTP client connection is closed after this
-	ObjectStallTimeout clock.Micros `json:"object_stall"`    // between two reads or writes of a body
-	ReadBackTime       clock.Micros `json:"read_back"`       // part of a completion's time reserved for checking its outcome
-	ReadBackInterval   clock.Micros `json:"read_back_pause"` // between two checks of the outcome
-	MaxCompletionBytes int64        `json:"max_completion"`  // body of a request that completes an upload
+	MaxObjectBytes     int64        `json:"max_object"`    // body of one PUT request or one part
+	MaxHeaderBytes     int          `json:"max_head"`      // request line and headers
+	MaxHeaderFields    int          `json:"max_fields"`    // lines of a request's head
+	ObjectBufferBytes  int          `json:"object_buffer"` // bytes of a response buffered before the first one is sent
+	MaxParts           int          `json:"max_parts"`     // parts of one upload
+	ObjectIdleTimeout  clock.Micros `json:"object_idle"`   // an idle HTTP client connection is closed after this
+	ObjectStallTimeout clock.Micros `json:"object_stall"`  // between two writes of a body
+	// ObjectReceiveTimeout is the time for the head of a request, and between two reads of its body.
+	ObjectReceiveTimeout clock.Micros `json:"object_receive"`
+	ReadBackTime         clock.Micros `json:"read_back"`       // part of a completion's time reserved for checking its outcome
+	ReadBackInterval     clock.Micros `json:"read_back_pause"` // between two checks of the outcome
+	MaxCompletionBytes   int64        `json:"max_completion"`  // body of a request that completes an upload
 }
--- a/internal/broker/server/server.go
+++ b/internal/broker/server/server.go
@@ -20,10 +20,10 @@
 	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/block"
 	"poppyarch/internal/frontend/object"
-	"poppyarch/internal/frontend/pacing"
 	"poppyarch/internal/nodes/discovery"
 	"poppyarch/internal/observability/record"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 	"poppyarch/internal/transport/pool"
 )
 
@@ -162,7 +162,7 @@
 		backend := objectstore.New(b.startPool(ctx, nodeConns), b.clock, limits)
 		requests := core.NewBroker(b.dispatcher, b.endpoints, b.limiter, backend, b.clock, limits)
 		requests.SetRecorder(b.recording.requests())
-		f := object.New(requests, b.cfg, clientConns, b.clock, b.log)
+		f := object.New(requests, b.cfg, object.Options{MaxConns: clientConns, Memory: budget, Pacing: pacer}, b.clock, b.log)
 		b.background.Go(func() { f.Report(ctx, clientReportInterval) })
 		frontends[b.cfg.Object.Listen] = f
 	}
--- a/internal/frontend/object/exchange.go
+++ b/internal/frontend/object/exchange.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"hash/fnv"
 	"io"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -21,9 +19,11 @@
 const (
 	maxKeyBytes   = 1024
 	timeoutHeader = "X-Timeout-Ms"
-	// drainRetryAfter and bodyRetryAfter are values of the Retry-After header, in seconds.
-	drainRetryAfter = "1"
-	bodyRetryAfter  = "1"
+	// drainRetryAfter and memoryRetryAfter are values of the Retry-After header, in seconds.
+	drainRetryAfter  = "1"
+	memoryRetryAfter = "1"
+	// maxQueryFields limits the names in a query. The operations of the API have three at most.
+	maxQueryFields = 16
 )
 
 // unsupportedHeaders belong to operations that this server does not implement.
@@ -43,6 +43,8 @@
 	class  int // number of the request's class in the configuration
 	body   []byte
 
+	headBytes       int
+	reserved        int64 // bytes that are counted for the request
 	receivedAt      clock.Micros
 	deadline        clock.Micros
 	responseStarted atomic.Bool // if true, the response can no longer be replaced by an error
@@ -50,6 +52,9 @@
 
 // serve parses the request and executes its operation. The error is an apiError, unless the response has begun.
 func (x *exchange) serve() error {
+	if err := x.reserveHead(); err != nil {
+		return err
+	}
 	if err := x.parseURL(); err != nil {
 		return err
 	}
@@ -82,6 +87,9 @@
 	if x.key == "" {
 		return errNotImplemented // no operations on buckets, which the operator sets up
 	}
+	if strings.Count(x.r.URL.RawQuery, "&") >= maxQueryFields {
+		return errInvalidURI
+	}
 	query, err := url.ParseQuery(x.r.URL.RawQuery)
 	if err != nil {
 		return errInvalidURI
@@ -164,36 +172,6 @@
 	return max(int64(seconds), 1)
 }
 
-// readBody reads the request's body. It fails if the body exceeds maxBytes or the limit on all bodies in flight, or is
-// not received by the request's deadline.
-func (x *exchange) readBody(maxBytes int64) error {
-	size := x.r.ContentLength
-	if size < 0 {
-		return errMissingLength
-	}
-	if size > maxBytes {
-		return errTooLarge
-	}
-	if x.server.bodyBytes.Add(size) > x.server.lim.MaxTotalBodyBytes {
-		x.server.bodyBytes.Add(-size)
-		x.w.Header().Set("Retry-After", bodyRetryAfter)
-		return errNoMemory
-	}
-	x.body = make([]byte, size)
-	timeout := clock.Duration(x.deadline - x.server.clock.Now())
-	_ = x.control.SetReadDeadline(time.Now().Add(timeout)) // without it, the read ends with the connection
-	_, err := io.ReadFull(x.r.Body, x.body)
-	// The deadline is removed because net/http would treat one that passes later as a disconnect of the client.
-	_ = x.control.SetReadDeadline(time.Time{})
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return errBodyStalled
-	}
-	if err != nil {
-		return errIncompleteBody
-	}
-	return nil
-}
-
 // setWriteTimeout sets the time limit for the following writes to the client.
 func (x *exchange) setWriteTimeout(timeout clock.Micros) {
 	_ = x.control.SetWriteDeadline(time.Now().Add(clock.Duration(timeout))) // fails only on a closed connection
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -17,8 +17,10 @@
 	"poppyarch/internal/broker/config"
 	"poppyarch/internal/broker/core"
 	"poppyarch/internal/broker/limits"
+	"poppyarch/internal/broker/memory"
 	"poppyarch/internal/frontend/clientstats"
 	"poppyarch/internal/timing/clock"
+	"poppyarch/internal/timing/pacing"
 	"poppyarch/internal/transport/httpserver"
 	"poppyarch/internal/transport/socket"
 )
@@ -41,19 +43,27 @@
 	http   *httpserver.Server
 	stats  clientstats.Counters
 
-	lastID    atomic.Uint64 // last number used in a request id
-	bodyBytes atomic.Int64  // size of the request bodies in flight
+	memory *memory.Budget
+	lastID atomic.Uint64 // last number used in a request id
 
 	drainDeadline clock.AtomicMicros // when all requests must have been answered; 0 before the drain
 	base          context.Context    // done at the drain deadline
 	expire        context.CancelFunc
 }
 
-// New returns a server for at most maxConns simultaneous clients.
-func New(b Broker, cfg *config.Config, maxConns int, c *clock.Clock, log *slog.Logger) *Server {
+// Options are what the clients of a server may take up.
+type Options struct {
+	MaxConns int             // simultaneous clients
+	Memory   *memory.Budget  // for what clients make the process hold
+	Pacing   *pacing.Limiter // of free answers
+}
+
+// New returns a server.
+func New(b Broker, cfg *config.Config, o Options, c *clock.Clock, log *slog.Logger) *Server {
 	s := &Server{
 		broker: b,
 		cfg:    cfg,
+		memory: o.Memory,
 		clock:  c,
 		lim:    &cfg.Limits,
 		log:    log,
@@ -62,11 +72,15 @@
 	s.http = httpserver.New(&http.Server{
 		Handler:           s,
 		MaxHeaderBytes:    s.lim.MaxHeaderBytes,
-		ReadHeaderTimeout: clock.Duration(s.lim.ObjectStallTimeout),
+		ReadHeaderTimeout: clock.Duration(s.lim.ObjectReceiveTimeout),
 		IdleTimeout:       clock.Duration(s.lim.ObjectIdleTimeout),
 		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 	}, httpserver.Options{
-		MaxConns:        maxConns,
+		MaxConns:        o.MaxConns,
+		HeadTimeout:     clock.Duration(s.lim.ObjectReceiveTimeout),
+		StallTimeout:    clock.Duration(s.lim.ObjectReceiveTimeout),
+		MaxHeaderFields: s.lim.MaxHeaderFields,
+		Pacing:          o.Pacing,
 		UnusedTimeout:   s.lim.ClientStallTimeout,
 		LingerTimeout:   clock.Duration(s.lim.ClientLingerTimeout),
 		DeliveryTimeout: clock.Duration(s.lim.ClientWriteTimeout),
@@ -77,7 +91,7 @@
 // Report logs what was done to clients every interval until ctx is done, if there is anything to tell.
 func (s *Server) Report(ctx context.Context, interval time.Duration) {
 	s.stats.Report(ctx, interval, s.log.With("frontend", "object"), func() []any {
-		return []any{"conns", s.http.ConnCount(), "client_bytes", s.bodyBytes.Load()}
+		return []any{"conns", s.http.ConnCount(), "client_bytes", s.memory.Used()}
 	})
 }
 
@@ -116,11 +130,12 @@
 	w.Header().Set("X-Amz-Request-Id", x.id)
 	if r.URL.Path == healthPath {
 		w.Header().Set("Content-Type", "text/plain")
+		httpserver.CountFreeAnswer(r.Context(), 0)
 		_, _ = io.WriteString(w, "ok\n") // a client that has disconnected needs no reply
 		return
 	}
+	defer func() { s.memory.Release(x.reserved) }()
 	err := x.serve()
-	s.bodyBytes.Add(-int64(len(x.body)))
 	if err == nil {
 		return
 	}
@@ -128,6 +143,7 @@
 		panic(http.ErrAbortHandler) // the aborted connection tells the client that the body is incomplete
 	}
 	s.countError(x, err)
+	httpserver.CountFreeAnswer(r.Context(), x.headBytes+len(x.body))
 	x.setWriteTimeout(s.lim.ClientWriteTimeout)
 	writeError(w, r, x.id, err)
 }
--- a/internal/testkit/fake/block.go
+++ b/internal/testkit/fake/block.go
@@ -27,6 +27,13 @@
 	b.hook = f
 }
 
+// Put stores a piece.
+func (b *BlockServer) Put(piece string, value []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.data[piece] = value
+}
+
 // Commands returns the received block commands, each as the command's name and the request's id.
 func (b *BlockServer) Commands() []string {
 	b.mu.Lock()
--- a/internal/testkit/overload/installation_test.go
+++ b/internal/testkit/overload/installation_test.go
@@ -83,6 +83,8 @@
 	list := fake.NewDiscovery()
 	for shard := range shards {
 		blocks, objects := fake.NewBlockServer(), fake.NewObjectServer()
+		blocks.Put(largePiece, make([]byte, largeValue))
+		objects.Put(largeObject, make([]byte, largeValue))
 		x.blocks = append(x.blocks, blocks)
 		x.objects = append(x.objects, objects)
 		list.SetEndpoints(discovery.Endpoint{
