Module: ever new volumes and keys keep a bounded state

What callers saw: while one client asked under ever new names, memory grew without end: with 32 MB a flood of reads of new volumes on one connection, paced as it is now, took 35.3 MB after 40 s. Each volume was kept for a minute after its last request, or for good where its limit refills slower than that, and the pass that deletes idle ones went over all of them every 100 ms. Rejected requests are remembered for their class's deadline, by name too.

Change: volumes are in a list by use. If none of the eight oldest may go, the request is rejected, which is harmless. As many rejected requests are remembered; others count as first tries. The pass over idle volumes ends at the first one that is not.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -25,6 +25,8 @@
 	requestBytes    = 16 << 10 // that a request in flight takes, apart from its message
 	connBytes       = 16 << 10 // that a client connection takes, apart from what it sends and gets
 	programBytes    = 13 << 20 // of the program's file, which count as memory of the process
+	volumeBytes     = 512      // that the state of a volume takes
+	volumeShare     = 16       // the part of the memory for the state of volumes, as a divisor
 	inFlightShare   = 6        // the part of the memory for requests in flight, as a divisor
 	connShare       = 5        // the part of the memory for client connections, as a divisor
 	ownDescriptors  = 32       // for the runtime, standard streams, listeners and discovery
@@ -57,6 +59,7 @@
 	c.setConnectionLimits(l, settings)
 	c.setDiscoveryLimits(l)
 	c.setRequestLimits(l, settings)
+	c.Policy.MaxVolumes = int(machine.MemoryMB << 20 / volumeShare / volumeBytes)
 	if err := applyTuning(l, in.Tuning); err != nil {
 		return err
 	}
--- a/internal/broker/decision/config.go
+++ b/internal/broker/decision/config.go
@@ -16,6 +16,7 @@
 	// Sizes and weights of requests.
 	MeanUnits           float64
 	MaxUnits            float64
+	MaxVolumes          int     // volumes whose state is kept, and rejected requests that are remembered; 0 for no limit
 	QuotaPriorityWeight float64 // factor on the priority weight of requests beyond their volume's reserve
 
 	// Attempts and retries.
--- a/policy/request.go
+++ b/policy/request.go
@@ -97,6 +97,10 @@
 	}
 	r.class = &s.cfg.Classes[r.arrival.Class]
 	r.volume = s.volumeOf(&r.arrival)
+	if r.volume == nil {
+		s.reject(r, shortRetryAfter)
+		return
+	}
 	r.clientStartedAt = s.clientStart(r)
 	r.objectiveAt = r.clientStartedAt + r.class.LatencyObjective
 	// Queueing for more than half of the time left to the deadline costs the client more than a rejection.
@@ -193,7 +197,7 @@
 // closeRequest closes a request. It stays in the table while its attempt has no outcome. A request that was
 // not served is remembered, so that a retry by its client can be recognized.
 func (s *Scheduler) closeRequest(r *request) {
-	if !r.closed && !r.served && r.arrival.Key != "" && r.class != nil {
+	if !r.closed && !r.served && r.arrival.Key != "" && r.class != nil && s.mayRemember() {
 		s.requests.unserved[r.retryKey()] = r.clientStartedAt + r.class.Deadline
 	}
 	r.closed = true
@@ -206,6 +210,11 @@
 	}
 }
 
+// mayRemember reports whether another request that was not served may be remembered.
+func (s *Scheduler) mayRemember() bool {
+	return s.cfg.MaxVolumes <= 0 || len(s.requests.unserved) < s.cfg.MaxVolumes
+}
+
 // removeRequest returns the list without r. It reuses the list's array.
 func removeRequest(list []*request, r *request) []*request {
 	return slices.DeleteFunc(list, func(x *request) bool { return x == r })
--- a/policy/retention.go
+++ b/policy/retention.go
@@ -8,6 +8,10 @@
 	"poppyarch/internal/broker/decision"
 )
 
+// maxEvictionCandidates is how many of the least recently used volumes are considered to make room for
+// another one.
+const maxEvictionCandidates = 8
+
 // idleRetention is how long the state of idle volumes and removed nodes is kept.
 const idleRetention = time.Minute
 
@@ -22,11 +26,21 @@
 	maps.DeleteFunc(s.requests.keyQueues, func(_ string, q *keyQueue) bool {
 		return len(q.requests) == 0 && q.quietUntil <= s.now
 	})
-	maps.DeleteFunc(s.volumes, func(_ string, v *volume) bool {
-		// The volume may be created again with a full bucket, so its bucket must have had the time to fill up.
-		refilled := v.rateLimit.RefillRate*idleRetention.Seconds() >= v.rateLimit.Burst
-		return v.queuedUnits == 0 && s.now > v.lastSeenAt+idleRetention && refilled
-	})
+	s.evictIdleVolumes()
+}
+
+// evictIdleVolumes deletes the volumes that have not been used for idleRetention.
+func (s *Scheduler) evictIdleVolumes() {
+	for e := s.volumesByUse.Front(); e != nil; {
+		v := e.Value.(*volume)
+		e = e.Next()
+		if s.now <= v.lastSeenAt+idleRetention {
+			return // the following ones were used later
+		}
+		if v.isEvictable(s.now) {
+			s.deleteVolume(v)
+		}
+	}
 }
 
 // isEvictable reports whether n was removed long enough ago and has no attempts in flight.
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -13,6 +13,7 @@
 package policy
 
 import (
+	"container/list"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -50,13 +51,14 @@
 	actions    []decision.Action // actions of the current step
 	logLimiter rate.FixedWindow
 
-	timers      timers
-	watch       endpointWatch
-	nodes       nodeTable
-	requests    requestTable
-	volumes     map[string]*volume
-	retryBudget retryBudget
-	overall     overallEstimate
+	timers       timers
+	watch        endpointWatch
+	nodes        nodeTable
+	requests     requestTable
+	volumes      map[string]*volume
+	volumesByUse *list.List // the same, least recently used first
+	retryBudget  retryBudget
+	overall      overallEstimate
 }
 
 // timers holds the scheduler's timer and the end of the compensation period.
@@ -74,13 +76,14 @@
 	}
 	cfg = cfg.WithDefaults()
 	return &Scheduler{
-		cfg:      cfg,
-		random:   rand.New(rand.NewPCG(cfg.Seed, 1)),
-		watch:    newEndpointWatch(&cfg),
-		nodes:    newNodeTable(),
-		requests: newRequestTable(),
-		volumes:  map[string]*volume{},
-		overall:  newOverallEstimate(),
+		cfg:          cfg,
+		random:       rand.New(rand.NewPCG(cfg.Seed, 1)),
+		watch:        newEndpointWatch(&cfg),
+		nodes:        newNodeTable(),
+		requests:     newRequestTable(),
+		volumes:      map[string]*volume{},
+		volumesByUse: list.New(),
+		overall:      newOverallEstimate(),
 	}, nil
 }
 
--- a/policy/volume.go
+++ b/policy/volume.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"time"
 
 	"poppyarch/internal/broker/decision"
@@ -10,6 +11,8 @@
 
 // volume holds this broker's state for a tenant's volume, over all nodes.
 type volume struct {
+	name          string
+	lastUse       *list.Element // in the scheduler's list of volumes by use
 	plan          *decision.Plan
 	rateLimit     rate.TokenBucket
 	reserveCredit float64 // units that may be counted inside the reserve
@@ -23,15 +26,21 @@
 	usageAt         time.Duration // time of the last report of usage
 }
 
-// volumeOf returns the state of a request's volume and creates it if needed.
+// volumeOf returns the state of a request's volume and creates it if needed. It returns nil if the state of
+// too many volumes has to be kept.
 func (s *Scheduler) volumeOf(a *decision.Arrival) *volume {
 	if v := s.volumes[a.Volume]; v != nil {
 		v.lastSeenAt = s.now
+		s.volumesByUse.MoveToBack(v.lastUse)
 		return v
 	}
+	if !s.makeRoomForVolume() {
+		return nil
+	}
 	plan := s.cfg.Plan(a.Plan)
 	brokers := float64(cmp.Or(max(a.Brokers, 0), s.cfg.Brokers))
 	v := &volume{
+		name:          a.Volume,
 		plan:          plan,
 		lastSeenAt:    s.now,
 		reserveCredit: plan.ReservedRate + max(s.cfg.MaxUnits, 1),
@@ -45,9 +54,44 @@
 		},
 	}
 	s.volumes[a.Volume] = v
+	v.lastUse = s.volumesByUse.PushBack(v)
 	return v
 }
 
+// makeRoomForVolume deletes the state of the volume that was used least recently if there is no room for
+// another one. It returns false if the state of the least recently used ones has to be kept.
+func (s *Scheduler) makeRoomForVolume() bool {
+	if s.cfg.MaxVolumes <= 0 || len(s.volumes) < s.cfg.MaxVolumes {
+		return true
+	}
+	oldest := s.volumesByUse.Front()
+	for range maxEvictionCandidates {
+		if oldest == nil {
+			return false
+		}
+		if v := oldest.Value.(*volume); v.isEvictable(s.now) {
+			s.deleteVolume(v)
+			return true
+		}
+		oldest = oldest.Next()
+	}
+	return false
+}
+
+func (s *Scheduler) deleteVolume(v *volume) {
+	delete(s.volumes, v.name)
+	s.volumesByUse.Remove(v.lastUse)
+}
+
+// isEvictable reports whether the volume's state may be deleted: nothing is queued, and its bucket has had
+// the time to fill up, as the volume may be created again with a full one.
+func (v *volume) isEvictable(now time.Duration) bool {
+	if v.queuedUnits != 0 {
+		return false
+	}
+	return v.plan.RateLimit <= 0 || v.rateLimit.RefillRate*(now-v.lastSeenAt).Seconds() >= v.rateLimit.Burst
+}
+
 // chargeReserve decides whether a request counts as inside its volume's reserve. Each broker counts the
 // fraction of its requests that the reserve covers of the volume's demand over all brokers, so that all
 // brokers together use the reserve once. Without reports of service through other brokers, this one is taken
