No attempt begins for a client that has left behind much unread input

What callers saw: a client closed its connection with much still unread, and its requests were sent on afterwards.

Cause: the end of a connection travels behind its data. While unread input fills the buffers, the client's system holds the rest and the end back, and the broker's side counts as established (TCP_INFO). The block frontend stopped reading at 128 requests, the object frontend reads one request at a time: what they had read was sent on, first attempts and retries alike, until an answer to the client was reset. Reproduced with a node that hangs, so that no answer is written, and with nodes that fail after the client has left, so that a retry is due; clients that leave after 60 ms with 2 to 4 MB unread.

Change: before each attempt a client with 32 KiB or more of unread input counts as one that may have left. The block frontend, whose reader goes on while requests wait, gives it 50 ms to catch up (100 ms are allowed).

--- a/internal/broker/core/broker.go
+++ b/internal/broker/core/broker.go
@@ -70,6 +70,7 @@
 // Wait implements Pending.
 func (e *execution[W, V]) Wait(ctx context.Context) Response[V] {
 	resp := e.execute(ctx)
+	resp.MayHaveRun = e.mayHaveRun
 	if e.trace != nil {
 		e.trace.finish(e.broker.recorder, recordedResult(ctx, resp.Status, resp.DeadlineExceeded), resp.RetryAfter)
 	}
@@ -93,11 +94,15 @@
 	for number := 0; d.Verdict == dispatcher.Forward; number++ {
 		startedAt := e.trace.now()
 		value, outcome := e.attempt(ctx, d, number)
+		e.mayHaveRun = e.mayHaveRun || !outcome.NotExecuted()
 		e.trace.addAttempt(d.Node, startedAt, outcome)
 		d = b.dispatcher.Report(ctx, e.submitted.ID, outcome)
 		if outcome == Served {
 			return Response[V]{Status: Success, Value: value}
 		}
+		if d.Verdict == dispatcher.NoFurtherAction && !e.mayHaveRun && errors.Is(context.Cause(ctx), ErrClientDisconnected) {
+			return Response[V]{Status: Rejection, RetryAfter: b.lim.BusyRetryAfter, DeadlineExceeded: true}
+		}
 		if d.Verdict == dispatcher.NoFurtherAction {
 			// If the response had started, its value tells the frontend that nothing more can be sent.
 			return Response[V]{Status: Failure, Value: value, DeadlineExceeded: ctx.Err() != nil}
@@ -130,8 +135,9 @@
 	deadline  clock.Micros
 
 	// Set by execute.
-	expiry *time.Timer // cancels the request at its deadline
-	cancel context.CancelCauseFunc
+	expiry     *time.Timer // cancels the request at its deadline
+	cancel     context.CancelCauseFunc
+	mayHaveRun bool // an attempt was made that may have been executed
 }
 
 // attempt makes one attempt as the dispatcher has decided, unless the node has been removed from the endpoint list.
@@ -154,17 +160,14 @@
 // mayStart reports whether an attempt may start now. notAfter is the latest time for that, or 0 for no limit. If the
 // client has disconnected, mayStart cancels the request.
 func (e *execution[W, V]) mayStart(node Node, notAfter clock.Micros) bool {
-	if !e.broker.endpoints.Accepts(node) {
-		return false
-	}
-	if notAfter != 0 && e.broker.clock.Now() > notAfter {
+	if e.request.ClientDisconnected != nil && e.request.ClientDisconnected() { // may take time, so it comes first
+		e.cancel(ErrClientDisconnected)
 		return false
 	}
-	if e.request.ClientDisconnected != nil && e.request.ClientDisconnected() {
-		e.cancel(ErrClientDisconnected)
+	if !e.broker.endpoints.Accepts(node) {
 		return false
 	}
-	return true
+	return notAfter == 0 || e.broker.clock.Now() <= notAfter
 }
 
 // responseStarted reports the start of the response to the dispatcher and stops the timer of the request's deadline,
--- a/internal/broker/core/request.go
+++ b/internal/broker/core/request.go
@@ -47,7 +47,8 @@
 	NotIdempotent bool // whether the request must not be executed twice
 	Work          W
 	// ClientDisconnected reports whether the client has disconnected, even if its frontend has not detected that yet.
-	// It is called right before each attempt, which is not made if it reports true. It may be nil.
+	// It is called right before each attempt, which is not made if it reports true. It may be nil, and may take some
+	// milliseconds.
 	ClientDisconnected func() bool
 }
 
@@ -85,6 +86,7 @@
 type Response[V any] struct {
 	Status           Status
 	Value            V            // of a Success, or of a Failure whose response had started
+	MayHaveRun       bool         // an attempt was made that may have been executed
 	RetryAfter       clock.Micros // of a Rejection: wait before a retry; 0 if not given
 	DeadlineExceeded bool         // of a Failure or a Rejection: whether the request's deadline passed
 }
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -20,6 +20,13 @@
 // deliveryTime is the time allowed for a written reply to arrive if the system does not report its unsent bytes.
 const deliveryTime clock.Micros = 1_000_000
 
+const (
+	// catchUpTimeout is the time for the reader to read what has arrived, before the client counts as disconnected. An attempt
+	// may begin up to 100 ms after that.
+	catchUpTimeout  clock.Micros = 50_000
+	catchUpInterval              = time.Millisecond
+)
+
 // errQuit ends a connection after its client has sent QUIT and the pending replies were sent.
 var errQuit = errors.New("client quit")
 
@@ -133,6 +140,19 @@
 	}
 }
 
+// hasLeft reports whether the client has disconnected, or may have done so: if much input is unread, the end of the
+// connection may be behind it, and hasLeft waits for some time until the reader has caught up. It must not be called by the
+// reader.
+func (c *conn) hasLeft() bool {
+	for end := c.server.clock.Now() + catchUpTimeout; socket.MayHaveEnded(c.Conn); time.Sleep(catchUpInterval) {
+		if socket.PeerClosed(c.Conn) || c.server.clock.Now() >= end {
+			c.server.countEvent(c, clientstats.ClientLeft, "")
+			return true
+		}
+	}
+	return false
+}
+
 // execute starts one command. If it returns an error, the connection ends after the pending replies.
 func (c *conn) execute(ctx context.Context, cmd redcon.Command) error {
 	if len(cmd.Args) == 0 {
@@ -176,8 +196,8 @@
 	}
 	// Commands that a client sent before it disconnected may be read after the disconnect, if this process was delayed
 	// or several commands arrived together.
-	req.ClientDisconnected = func() bool { return socket.PeerClosed(c.Conn) }
-	if (!c.hasRequested.Load() || c.pending.Load() > 0) && req.ClientDisconnected() {
+	req.ClientDisconnected = c.hasLeft
+	if (!c.hasRequested.Load() || c.pending.Load() > 0) && socket.PeerClosed(c.Conn) {
 		s.countEvent(c, clientstats.ClientLeft, id)
 		return core.ErrClientDisconnected
 	}
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -150,13 +150,13 @@
 
 // clientDisconnected returns a function that reports whether a request's client has disconnected, or nil if the
 // connection is not known. The HTTP server itself detects a disconnect only after it has read the request's body, and
-// not if more input follows the body.
+// not if more input follows the body. If much of that is unread, the client counts as disconnected.
 func clientDisconnected(ctx context.Context) func() bool {
 	c, ok := httpserver.ConnOf(ctx)
 	if !ok {
 		return nil
 	}
-	return func() bool { return socket.PeerClosed(c) }
+	return func() bool { return socket.MayHaveEnded(c) }
 }
 
 // newExchange returns the exchange for a request that has just arrived.
--- a/internal/transport/socket/socket.go
+++ b/internal/transport/socket/socket.go
@@ -81,14 +81,21 @@
 
 // UnsentBytes returns the number of bytes that were written to a connection and that the peer's system has not
 // acknowledged. ok is false if the number is not known.
-func UnsentBytes(c net.Conn) (n int, ok bool) {
+func UnsentBytes(c net.Conn) (n int, ok bool) { return queuedBytes(c, unix.SIOCOUTQ) }
+
+// UnreadBytes returns the number of bytes that have arrived on a connection and have not been read. ok is false if the number
+// is not known.
+func UnreadBytes(c net.Conn) (n int, ok bool) { return queuedBytes(c, unix.SIOCINQ) }
+
+// queuedBytes returns the length of one of the queues of a connection.
+func queuedBytes(c net.Conn, request uint) (n int, ok bool) {
 	raw, err := rawConn(c)
 	if err != nil {
 		return 0, false
 	}
 	var ioctlErr error
 	err = raw.Control(func(fd uintptr) {
-		n, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		n, ioctlErr = unix.IoctlGetInt(int(fd), request)
 	})
 	if err != nil || ioctlErr != nil {
 		return 0, false
@@ -96,6 +103,20 @@
 	return n, true
 }
 
+// maxUnreadBytes is the size of unread input from which on the end of a connection may be held back at the peer. It is half
+// of the smallest receive window that Linux begins with.
+const maxUnreadBytes = 32 << 10
+
+// MayHaveEnded reports whether the peer has closed or reset a connection, or may have done so without a way to tell: the end
+// of a connection comes behind its input, and cannot come while unread input fills the buffers.
+func MayHaveEnded(c net.Conn) bool {
+	if PeerClosed(c) {
+		return true
+	}
+	n, ok := UnreadBytes(c)
+	return ok && n >= maxUnreadBytes
+}
+
 // IsTimeout reports whether a network operation failed because its deadline has passed.
 func IsTimeout(err error) bool {
 	var netErr net.Error
