Block frontend: the id of an executed request is not accepted again

What callers saw: an id ran twice when it came again after its client had left.

Cause: an id was registered until its reply was written or discarded. When a client leaves, its request is cancelled and its id free at once, while the storage node may still execute it; the same id on another connection was a new request. The same holds for an id that comes again after its answer.

Change: core tells with each response whether an attempt may have run. The ids of such requests of classes that must not simply be repeated are kept for twice the longest deadline (tuning id_keep), as hashes, and answered as ids in use. At most max_ids are kept (a sixteenth of memory_mb at 64 bytes: 32,768 with 32 MB); when they are all in use, further requests of these classes are rejected, not forgotten. Ids of rejected requests and of classes that may be repeated are free as before. The object API has no ids of its clients; restarts and other brokers share nothing, so an id that comes there is not recognised.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -26,6 +26,8 @@
 	connBytes       = 16 << 10 // that a client connection takes, apart from what it sends and gets
 	programBytes    = 13 << 20 // of the program's file, which count as memory of the process
 	volumeBytes     = 512      // that the state of a volume takes
+	recentIDBytes   = 64       // that the id of an executed request takes
+	recentIDShare   = 16       // the part of the memory for such ids, as a divisor
 	volumeShare     = 16       // the part of the memory for the state of volumes, as a divisor
 	inFlightShare   = 6        // the part of the memory for requests in flight, as a divisor
 	connShare       = 5        // the part of the memory for client connections, as a divisor
@@ -102,6 +104,7 @@
 		MaxMessageBytes:                72 << 10,
 		MaxArgs:                        16,
 		MaxValueBytes:                  64 << 10,
+		MaxRecentIDs:                   int(memoryBytes / recentIDShare / recentIDBytes),
 		MaxID:                          64,
 		MaxParamCount:                  64,
 		MaxParams:                      1024,
@@ -187,6 +190,7 @@
 		l.ResponseCompletionTimeout = min(l.ResponseCompletionTimeout, clock.FromDuration(k.LatencyObjective)/3)
 	}
 	l.ClientRequestTimeout = longest // the client has given up by then
+	l.RequestIDRetention = 2 * longest
 	l.DrainTotalTime = max(l.DrainTotalTime, longest+500*millisecond)
 	l.DrainResponseTime = min(longest, maxKillDeadline) + killSlack - killMargin
 	l.DrainServeTime = max(l.DrainResponseTime-drainAnswerReserve, l.DrainAcceptTime)
@@ -232,6 +236,8 @@
 		{"max_message", int64(l.MaxMessageBytes)},
 		{"max_pipeline", int64(l.MaxPipeline)},
 		{"max_replies", int64(l.MaxPendingReplies)},
+		{"max_ids", int64(l.MaxRecentIDs)},
+		{"id_keep", int64(l.RequestIDRetention)},
 		{"max_id", int64(l.MaxID)},
 		{"max_params", int64(l.MaxParams)},
 		{"max_names", int64(l.MaxParamCount)},
--- a/internal/broker/limits/limits.go
+++ b/internal/broker/limits/limits.go
@@ -22,10 +22,13 @@
 	MaxMessageBytes   int   `json:"max_message"`  // size of one command
 	MaxArgs           int   `json:"max_args"`     // arguments of one command
 	MaxValueBytes     int   `json:"max_value"`    // size of one value in a request or a response
+	MaxRecentIDs      int   `json:"max_ids"`      // IDs kept of requests that must not be executed again
 	MaxID             int   `json:"max_id"`       // length of a request's ID
 	MaxParamCount     int   `json:"max_names"`    // names in a command's list
 	MaxParams         int   `json:"max_params"`   // length of a command's list of names and values
 
+	RequestIDRetention clock.Micros `json:"id_keep"` // how long they are kept
+
 	// Client connections.
 	ClientWriteTimeout             clock.Micros `json:"client_write"`  // for a client to take its response
 	ClientFirstByteTimeout         clock.Micros `json:"client_first"`  // for the first byte on a new connection
--- a/internal/frontend/block/command.go
+++ b/internal/frontend/block/command.go
@@ -39,6 +39,7 @@
 	classes       map[string]int // class numbers by name
 	plans         map[string]int // plan numbers by name
 	notIdempotent []bool         // by class number: a request must not be executed twice
+	repeatable    []bool         // by class number: a request may be executed again at any time
 	shards        int            // number of shards; 0 if unknown
 	maxUnits      float64        // limit on a request's units; 0 if there is none
 
@@ -58,6 +59,7 @@
 		class := &cfg.Classes[i]
 		s.classes[class.Name] = i
 		s.notIdempotent = append(s.notIdempotent, class.Idempotency == decision.NotIdempotent)
+		s.repeatable = append(s.repeatable, class.Idempotency == decision.Idempotent)
 	}
 	for i := range cfg.Plans {
 		s.plans[cfg.Plans[i].Name] = i
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -201,14 +201,19 @@
 		s.countEvent(c, clientstats.ClientLeft, id)
 		return core.ErrClientDisconnected
 	}
-	r := &reply{requestID: id, ready: make(chan struct{})}
-	if !s.inFlight.addID(id) {
+	r := &reply{requestID: id, repeatable: s.schema.repeatable[req.Class], ready: make(chan struct{})}
+	switch s.inFlight.addID(id, r.repeatable, s.clock.Now()) {
+	case idInUse:
 		s.countEvent(c, clientstats.RejectedDuplicate, id)
 		c.enqueueEncoded([]byte(replyDuplicateID))
 		return nil
+	case idTableFull:
+		s.countEvent(c, clientstats.RejectedMemory, id)
+		c.enqueueEncoded(busyReply(s.lim.BusyRetryAfter))
+		return nil
 	}
 	if !c.reserve(r, int64(len(cmd.Raw)+requestOverheadBytes)) {
-		s.inFlight.remove(r)
+		s.inFlight.remove(r, s.clock.Now())
 		s.countEvent(c, clientstats.RejectedMemory, id)
 		c.enqueueEncoded(busyReply(s.lim.BusyRetryAfter))
 		return nil
@@ -233,9 +238,10 @@
 			<-r.ready
 		}
 		c.writeReply(r)
-		c.server.inFlight.remove(r)
+		now := c.server.clock.Now()
+		c.server.inFlight.remove(r, now)
 		c.releaseReply(r)
-		c.idleSince.Store(c.server.clock.Now())
+		c.idleSince.Store(now)
 		c.replies.removeFirst()
 		if c.pending.Add(-1) == 0 {
 			if c.server.drain.listenerClosed.Load() {
--- a/internal/frontend/block/harness_test.go
+++ b/internal/frontend/block/harness_test.go
@@ -36,6 +36,8 @@
 		MaxPipeline:                    8,
 		MaxPendingReplies:              64,
 		MaxTotalBodyBytes:              1 << 20,
+		MaxRecentIDs:                   100,
+		RequestIDRetention:             hour,
 		MaxID:                          16,
 		MaxParamCount:                  64,
 		MaxParams:                      200,
--- a/internal/frontend/block/reply_queue.go
+++ b/internal/frontend/block/reply_queue.go
@@ -4,11 +4,13 @@
 
 // reply is the pending reply to one command.
 type reply struct {
-	ready     chan struct{} // closed once encoded and value are set; nil if they are set from the beginning
-	encoded   []byte
-	value     []byte // written after encoded, followed by CRLF; nil if there is none
-	requestID string // empty for commands that are not requests
-	reserved  int64  // bytes that are counted for the command and its reply
+	ready      chan struct{} // closed once encoded and value are set; nil if they are set from the beginning
+	encoded    []byte
+	value      []byte // written after encoded, followed by CRLF; nil if there is none
+	requestID  string // empty for commands that are not requests
+	repeatable bool   // the request may be executed again at any time
+	keepID     bool   // the request may have been executed and must not be executed again
+	reserved   int64  // bytes that are counted for the command and its reply
 }
 
 // replyQueue holds the pending replies of one connection in the order of their commands. A goroutine writes them while
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -35,7 +35,7 @@
 	conns    connTable
 	memory   *memory.Budget
 	pacing   *pacing.Limiter
-	inFlight inFlight
+	inFlight *inFlight
 	drain    drainState
 	stats    clientstats.Counters
 
@@ -75,7 +75,7 @@
 		},
 		memory:   o.Memory,
 		pacing:   o.Pacing,
-		inFlight: inFlight{ids: map[string]struct{}{}},
+		inFlight: newInFlight(lim.RequestIDRetention, lim.MaxRecentIDs),
 		drain:    drainState{done: make(chan struct{})},
 	}
 	s.drain.base, s.drain.expire = context.WithCancelCause(context.Background())
--- a/internal/frontend/block/submission.go
+++ b/internal/frontend/block/submission.go
@@ -68,6 +68,7 @@
 
 // finish sets the reply to a request.
 func (c *conn) finish(r *reply, resp core.Response[[]byte]) {
+	r.keepID = resp.MayHaveRun && !r.repeatable
 	if resp.Status == core.Rejection {
 		c.pace.CountFreeAnswer(c.server.clock.Now(), 0)
 	}
--- a/internal/testkit/overload/disconnect_test.go
+++ b/internal/testkit/overload/disconnect_test.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -55,6 +56,23 @@
 	return late, all
 }
 
+// count returns the number of attempts of a request.
+func (a *attemptLog) count(request string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.begun[request])
+}
+
+// await waits for the first attempt of a request.
+func (a *attemptLog) await(t testing.TB, request string) {
+	t.Helper()
+	for end := time.Now().Add(startTimeout); a.count(request) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no attempt of %s has begun", request)
+		}
+	}
+}
+
 // nodeBehaviour makes the storage nodes of a test slow or faulty.
 type nodeBehaviour struct {
 	name       string
@@ -153,3 +171,35 @@
 	_ = nc.Close()
 	t.Logf("%d of %d bytes written", written, len(text))
 }
+
+func TestRequestIDThatComesAgainAfterItsClientHasLeftRunsOnce(t *testing.T) {
+	x := start(t, blockFrontend, leastMemory)
+	attempts := nodeBehaviour{delay: lateDelay}.observe(x)
+	text := writeCommand("again", 1, 10)
+	first, err := net.Dial("tcp", x.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.WriteString(first, text); err != nil {
+		t.Fatal(err)
+	}
+	attempts.await(t, "again")
+	_ = first.Close()
+	time.Sleep(disconnectGrace) // so that the broker has noticed
+	second, err := net.Dial("tcp", x.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = second.Close() })
+	_ = second.SetReadDeadline(time.Now().Add(startTimeout))
+	if _, err := io.WriteString(second, text); err != nil {
+		t.Fatal(err)
+	}
+	line, err := bufio.NewReader(second).ReadString('\n')
+	if err != nil || line[0] != '-' {
+		t.Errorf("the request that came again got %q, %v, want an error", line, err)
+	}
+	if n := attempts.count("again"); n != 1 {
+		t.Errorf("%d attempts, want 1", n)
+	}
+}
