Block frontend: flooding clients and ones that do not read make room for others

What callers saw, in a variation of the incident: with more bad clients than connections (200 with 256 descriptors, 700 with 1,024) usual clients were not accepted within their time: 4 requests each were lost beside floods of large unsound commands, of PINGs with 64 KiB, and of small commands whose answers are not read.

Cause: at the connection limit a connection with a pending reply, or with input to read, is never closed for a new client. A client that does not read its replies has pending ones for client_write, 5 s, and one that is made to wait for its many free answers always has input.

Change: both rank right after silent connections: the first after a quarter of client_stall without progress of a write, and the second while it waits and has no reply pending. "all client connections busy" is logged once a client and not every 5 ms.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -116,7 +116,9 @@
 // executeAll starts commands until the connection ends, and returns the reason as an error.
 func (c *conn) executeAll(ctx context.Context) error {
 	for {
-		c.awaitTurn() // before the command is read: it would hold memory meanwhile
+		if err := c.awaitTurn(); err != nil { // before the command is read: it would hold memory meanwhile
+			return err
+		}
 		cmd, err := c.reader.next()
 		if err != nil {
 			return err
@@ -127,16 +129,21 @@
 	}
 }
 
-// awaitTurn makes a client wait that has had many free answers.
-func (c *conn) awaitTurn() {
+// awaitTurn makes a client wait that has had many free answers. It returns an error if the connection is evicted meanwhile.
+func (c *conn) awaitTurn() error {
 	for {
 		delay := c.pace.BeginWait(c.server.clock.Now())
+		c.delayed.Store(delay > 0)
 		if delay == 0 {
-			return
+			return nil
 		}
 		c.server.stats.Count(clientstats.Delayed)
 		time.Sleep(delay)
 		c.pace.EndWait()
+		if c.reader.woken.Load() && c.pending.Load() == 0 && !c.server.drain.listenerClosed.Load() {
+			c.close(true, clientstats.ClosedEvicted)
+			return errIdle
+		}
 	}
 }
 
--- a/internal/frontend/block/eviction.go
+++ b/internal/frontend/block/eviction.go
@@ -96,6 +96,8 @@
 
 const (
 	evictUnused          evictionRank = iota // has sent malformed input, or nothing at all for some time
+	evictNotReading                          // has not read its replies for some time
+	evictDelayed                             // is made to wait, as it got many free answers
 	evictStalled                             // has stopped sending within a command
 	evictNeverRequested                      // has carried no request, at most commands such as PING
 	evictBetweenRequests                     // has carried a request and waits for the next command
@@ -108,10 +110,16 @@
 func (c *conn) evictionRank(now clock.Micros) evictionRank {
 	unused := c.lastReadAt.Load() == 0 && now >= c.acceptedAt+c.server.lim.ClientStallTimeout/4
 	switch {
-	case c.pending.Load() > 0, c.isClosing():
+	case c.isClosing():
+		return notEvictable
+	case c.notReading(now):
+		return evictNotReading
+	case c.pending.Load() > 0:
 		return notEvictable
 	case c.reader.failed.Load(), unused:
 		return evictUnused
+	case c.delayed.Load():
+		return evictDelayed
 	case c.stalled(now, true):
 		return evictStalled
 	case c.tooSlow(now):
@@ -124,6 +132,21 @@
 	return evictBetweenRequests
 }
 
+// notReading reports whether the client has not read its replies for too long, if its connection is needed for another one.
+func (c *conn) notReading(now clock.Micros) bool {
+	since := c.writeBlockedSince.Load()
+	return since != 0 && now >= since+c.server.lim.ClientStallTimeout/4
+}
+
+// evict makes the connection end unless it has become busy.
+func (c *conn) evict(now clock.Micros) {
+	if c.notReading(now) {
+		c.closeNotReading()
+		return
+	}
+	c.reader.wake()
+}
+
 // evictionCandidate returns the connection of the lowest rank from first (inclusive) to end (exclusive). Among
 // connections of the same rank it returns the one that has been inactive for longest. It returns nil if there is no
 // such connection. The caller holds mu.
@@ -153,6 +176,7 @@
 func (t *connTable) freeSlot() {
 	var evicted *conn
 	var evictedAt clock.Micros
+	logged := false
 	for {
 		t.mu.Lock()
 		count := len(t.conns)
@@ -167,14 +191,15 @@
 		}
 		t.mu.Unlock()
 		if candidate != nil {
-			candidate.reader.wake()
+			candidate.evict(t.clock.Now())
 			evicted = candidate
 			evictedAt = t.clock.Now()
 		}
 		if count < t.maxConns {
 			return
 		}
-		if candidate == nil && !t.anyClosing() {
+		if candidate == nil && !logged && !t.anyClosing() {
+			logged = true
 			t.log.Warn("all client connections busy, new client waits", "conns", count)
 		}
 		select {
--- a/internal/frontend/block/eviction_test.go
+++ b/internal/frontend/block/eviction_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"strings"
 	"testing"
 )
 
@@ -161,3 +162,38 @@
 	c, in = h.dial()
 	h.ping(c, in)
 }
+
+func TestFloodingAndNotReadingClientsMakeRoomForAnother(t *testing.T) {
+	lim := testLimits()
+	lim.ClientStallTimeout = 40 * millisecond
+	lim.FreeAnswersPerSecond = 1
+	lim.FreeAnswerBurst = 1
+	h := newHarness(t, lim, 2)
+	flooding, _ := h.dial()
+	send(flooding, strings.Repeat(encodeCommand("PING"), 40))
+	h.waitUntil("the flooding client is made to wait", func() bool {
+		for c := range h.server.conns.conns {
+			return c.delayed.Load() && c.pending.Load() == 0
+		}
+		return false
+	})
+	notReading, _ := h.dial()
+	send(notReading, onceCommand("a"))
+	<-h.broker.requests
+	h.broker.response("a") <- success(strings.Repeat("x", 16<<20)) // more than the buffers of a connection take
+	h.waitUntil("the client does not read its reply", func() bool {
+		for c := range h.server.conns.conns {
+			if c.notReading(h.server.clock.Now()) {
+				return true
+			}
+		}
+		return false
+	})
+	for _, id := range []string{"b", "c"} {
+		next, nextIn := h.dial()
+		send(next, readCommand(id))
+		<-h.broker.requests
+		h.broker.response(id) <- success("v")
+		expectText(t, nextIn, "$1\r\nv\r\n")
+	}
+}
--- a/internal/frontend/block/harness_test.go
+++ b/internal/frontend/block/harness_test.go
@@ -35,6 +35,8 @@
 		MaxValueBytes:                  2048,
 		MaxPipeline:                    8,
 		MaxPendingReplies:              64,
+		FreeAnswersPerSecond:           1000,
+		FreeAnswerBurst:                1000,
 		MaxTotalBodyBytes:              1 << 20,
 		MaxRecentIDs:                   100,
 		RequestIDRetention:             hour,
@@ -57,7 +59,7 @@
 	return Options{
 		MaxConns: maxConns,
 		Memory:   memory.NewBudget(lim.MaxTotalBodyBytes),
-		Pacing:   pacing.NewLimiter(1000, 1000),
+		Pacing:   pacing.NewLimiter(lim.FreeAnswersPerSecond, lim.FreeAnswerBurst),
 	}
 }
 
--- a/internal/frontend/block/idle.go
+++ b/internal/frontend/block/idle.go
@@ -31,6 +31,7 @@
 	writeBlockedSince clock.AtomicMicros // since when a write has been waiting for the client; 0 if none is
 	inputBytes        atomic.Int64       // memory that is reserved for the incomplete command
 	heldBytes         atomic.Int64       // memory that is reserved for commands and replies
+	delayed           atomic.Bool        // the client is made to wait, as it got many free answers
 	dropInput         atomic.Bool        // the memory of the incomplete command is needed for others
 }
 
