Object frontend: less memory at the connection limit, silent clients give way sooner

What callers saw, in a variation of the incident: with 32 MB and 700 clients, more than the 409 connections allowed, the object frontend's peak was 32.5 MB (stopped within a body) and 32.0 MB (query of many fields); beside 200 or 700 silent clients the answer to a new one took up to 1.5 s.

Cause: connections at 16 KB each, bodies and the program's file together leave nothing; a body's buffer was copied to one of twice its size up to the end, and both were counted, so that two uploads of 16 MiB no longer fitted into 192 MB; a connection that has sent nothing gave way only after client_stall, 1.5 s.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -30,7 +30,7 @@
 	recentIDShare   = 16       // the part of the memory for such ids, as a divisor
 	volumeShare     = 16       // the part of the memory for the state of volumes, as a divisor
 	inFlightShare   = 6        // the part of the memory for requests in flight, as a divisor
-	connShare       = 5        // the part of the memory for client connections, as a divisor
+	connShare       = 6        // the part of the memory for client connections, as a divisor
 	ownDescriptors  = 32       // for the runtime, standard streams, listeners and discovery
 )
 
@@ -98,7 +98,7 @@
 		NodeConns:   freeDescriptors / 3,
 
 		MaxInFlight:                    int(min(memoryBytes/inFlightShare/requestBytes, mostInFlight)),
-		MaxTotalBodyBytes:              memoryBytes / 6,
+		MaxTotalBodyBytes:              min(memoryBytes/6, (memoryBytes-programBytes)/5),
 		MaxPipeline:                    128,
 		MaxPendingReplies:              1024,
 		MaxMessageBytes:                72 << 10,
--- a/internal/frontend/object/body.go
+++ b/internal/frontend/object/body.go
@@ -13,6 +13,8 @@
 const (
 	// firstBodyBytes is the memory for a body before any of it has arrived.
 	firstBodyBytes = 16 << 10
+	// steadyBodyBytes is the size from which on memory for the whole body is taken at once.
+	steadyBodyBytes = 256 << 10
 	// fieldBytes is what a header field takes beside its text.
 	fieldBytes = 64
 	// reclaimInterval is how often a request that needs memory looks for some, and reclaimAttempts how many times.
@@ -59,7 +61,7 @@
 
 // readPart reads some bytes of a body of the given size.
 func (x *exchange) readPart(size int64) error {
-	if len(x.body) == cap(x.body) && !x.growBody(min(max(2*int64(cap(x.body)), firstBodyBytes), size)) {
+	if len(x.body) == cap(x.body) && !x.growBody(nextBodySize(int64(cap(x.body)), size)) {
 		return x.noMemory()
 	}
 	n, err := x.r.Body.Read(x.body[len(x.body):cap(x.body)])
@@ -73,16 +75,22 @@
 	return nil
 }
 
+// nextBodySize returns the size of the buffer that follows one of the given size, for a body of size bytes.
+func nextBodySize(buffer, size int64) int64 {
+	if buffer >= steadyBodyBytes {
+		return size
+	}
+	return min(max(2*buffer, firstBodyBytes), size)
+}
+
 // growBody moves the body to a buffer of another size. It returns false if there is no memory for it.
 func (x *exchange) growBody(size int64) bool {
-	old := int64(cap(x.body))
-	if !x.reserve(size) {
+	if !x.reserve(size - int64(cap(x.body))) {
 		return false
 	}
 	grown := make([]byte, len(x.body), size)
 	copy(grown, x.body)
 	x.body = grown
-	x.release(old)
 	return true
 }
 
@@ -104,11 +112,6 @@
 	return false
 }
 
-func (x *exchange) release(size int64) {
-	x.server.memory.Release(size)
-	x.reserved -= size
-}
-
 // noMemory returns the error of a request for which there is no memory.
 func (x *exchange) noMemory() error {
 	x.w.Header().Set("Retry-After", memoryRetryAfter)
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -81,7 +81,7 @@
 		StallTimeout:    clock.Duration(s.lim.ObjectReceiveTimeout),
 		MaxHeaderFields: s.lim.MaxHeaderFields,
 		Pacing:          o.Pacing,
-		UnusedTimeout:   s.lim.ClientStallTimeout,
+		UnusedTimeout:   s.lim.ClientStallTimeout / 4,
 		LingerTimeout:   clock.Duration(s.lim.ClientLingerTimeout),
 		DeliveryTimeout: clock.Duration(s.lim.ClientWriteTimeout),
 	}, c)
