Control endpoint, manager and agent: a call that does not come to its end is closed

Related paths of the incident: the HTTP servers of the control endpoint, the fleet's manager and the agent of one machine run on the same package as the object frontend, with net/http's time limits only: no limit between two reads of a body (manager, agent), on the first bytes of a head on a kept connection, and on the number of fields.

Change: they use the package's limits: the head within 5 s of its first byte, 5 s between two reads of a body, 128 fields. The behaviour is tested in internal/transport/httpserver. The number of their connections stays unlimited, and the manager's bodies of up to 256 MB stay (docs/ROADMAP.md).

--- a/internal/broker/control/server.go
+++ b/internal/broker/control/server.go
@@ -180,7 +180,11 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(s.log.Handler(), slog.LevelWarn),
-	}, httpserver.Options{}, clock.New())
+	}, httpserver.Options{
+		HeadTimeout:     readHeaderTimeout,
+		StallTimeout:    httpserver.DefaultStallTimeout,
+		MaxHeaderFields: httpserver.DefaultMaxHeaderFields,
+	}, clock.New())
 	if err := srv.ServeUntil(ctx, ln, drainTimeout); err != nil {
 		return fmt.Errorf("control: %w", err)
 	}
--- a/internal/fleet/manager/server.go
+++ b/internal/fleet/manager/server.go
@@ -33,7 +33,11 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          slog.NewLogLogger(m.log.Handler(), slog.LevelWarn),
 		BaseContext:       func(net.Listener) context.Context { return serveCtx }, // ends long polls
-	}, httpserver.Options{}, clock.New())
+	}, httpserver.Options{
+		HeadTimeout:     readHeaderTimeout,
+		StallTimeout:    httpserver.DefaultStallTimeout,
+		MaxHeaderFields: httpserver.DefaultMaxHeaderFields,
+	}, clock.New())
 	served := make(chan error, 1)
 	go func() { served <- server.ServeUntil(serveCtx, listener, drainTimeout) }()
 	ran := make(chan error, 1)
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -18,6 +18,12 @@
 	"poppyarch/internal/timing/pacing"
 )
 
+// Options for servers whose clients are programs of the same installation.
+const (
+	DefaultStallTimeout    = 5 * time.Second
+	DefaultMaxHeaderFields = 128
+)
+
 // Options configure a Server. The zero value sets no limit.
 type Options struct {
 	// MaxConns limits the number of client connections; 0 means no limit. At the limit, the connection that has been
