Block frontend: a connection at its share of memory waits; a third of 1,024 descriptors fit again

Cause: a connection that holds a quarter of the memory for clients had its further requests rejected, and that memory is now 3.8 MB with 32 MB.

Change: such a connection is not read on until replies have been sent, as it was before at 128 requests; only what all clients together hold leads to a rejection. Connections count 14 KB each, so 390 with 32 MB, and eviction begins at 342.

TestThousandNodesUnderSmallLimits passes.

--- a/internal/broker/config/limits.go
+++ b/internal/broker/config/limits.go
@@ -23,7 +23,7 @@
 	minSockets      = 64
 	mostInFlight    = 4096
 	requestBytes    = 16 << 10 // that a request in flight takes, apart from its message
-	connBytes       = 16 << 10 // that a client connection takes, apart from what it sends and gets
+	connBytes       = 14 << 10 // that a client connection takes, apart from what it sends and gets
 	programBytes    = 13 << 20 // of the program's file, which count as memory of the process
 	volumeBytes     = 512      // that the state of a volume takes
 	recentIDBytes   = 64       // that the id of an executed request takes
--- a/internal/frontend/block/memory.go
+++ b/internal/frontend/block/memory.go
@@ -21,11 +21,11 @@
 	reclaimAttempts = 20
 )
 
-// reserve counts bytes for a command or a reply of the connection until the reply is removed. It returns false if that
-// would exceed what all clients or this one may hold.
+// reserve counts bytes for a command or a reply of the connection until the reply is removed. If the connection holds its
+// share already, reserve waits until replies have been sent. It returns false if all clients together hold too much.
 func (c *conn) reserve(r *reply, size int64) bool {
-	held := c.heldBytes.Load()
-	if held > 0 && held+size > c.server.memory.Limit()/connShare || !c.server.memory.Reserve(size) {
+	c.replies.waitWhile(func() bool { return c.heldBytes.Load()+size > c.server.memory.Limit()/connShare })
+	if !c.server.memory.Reserve(size) {
 		return false
 	}
 	c.count(r, size)
--- a/internal/frontend/block/reply_queue.go
+++ b/internal/frontend/block/reply_queue.go
@@ -41,6 +41,16 @@
 	return startWriter
 }
 
+// waitWhile waits while replies are pending and blocked returns true. What it depends on must change before a reply is
+// removed.
+func (q *replyQueue) waitWhile(blocked func() bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.replies) > 0 && blocked() {
+		q.changed.Wait()
+	}
+}
+
 // first returns the reply that is to be written next. If there is none, the writer ends.
 func (q *replyQueue) first() (r *reply, ok bool) {
 	q.mu.Lock()
