Block frontend: a connection may hold half of the memory for clients

Cause: with 32 MB a quarter of the memory for clients holds some 730 waiting requests of 1.3 KB.

Change: half of it, some 1,500 requests, more than the 1,024 that may be pending. With more memory nothing changes for them.

--- a/internal/frontend/block/memory.go
+++ b/internal/frontend/block/memory.go
@@ -15,7 +15,7 @@
 	// minPendingReplies is the number of replies that a connection may have pending when memory is short.
 	minPendingReplies = 64
 	// connShare is the part of the memory for clients that a single connection may hold, as a divisor.
-	connShare = 4
+	connShare = 2
 	// reclaimInterval is how often a connection that needs memory looks for some, and reclaimAttempts how many times.
 	reclaimInterval = time.Millisecond
 	reclaimAttempts = 20
