Block frontend: an attempt waits for the reader only behind a real backlog

Change: a connection counts as backlogged once 4 KiB are unread after a read that filled the chunk, and until a read returns less. Less than that unread without a backlog means that the window cannot have been closed since the reader had caught up.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -170,13 +170,14 @@
 	lastReadAt := c.lastReadAt.Load()
 	for ; !socket.PeerClosed(c.Conn) && c.server.clock.Now() < end; time.Sleep(catchUpInterval) {
 		unread, known := socket.UnreadBytes(c.Conn)
-		if !known || unread == 0 && !c.backlogged.Load() || settled >= settledIntervals {
+		short := unread < socket.MaxUnreadBytes
+		if !known || short && !c.backlogged.Load() || settled >= settledIntervals {
 			return true
 		}
-		// A short queue that is not being read stays short only if the client has sent nothing behind it.
+		// After a backlog, a short queue that is not being read stays short only if the client has sent nothing behind it.
 		readAt := c.lastReadAt.Load()
 		settled++
-		if readAt != lastReadAt || unread >= socket.MaxUnreadBytes {
+		if readAt != lastReadAt || !short {
 			settled = 0
 		}
 		lastReadAt = readAt
--- a/internal/frontend/block/idle.go
+++ b/internal/frontend/block/idle.go
@@ -27,7 +27,7 @@
 	lastReadAt       clock.AtomicMicros
 	inCommand        atomic.Bool // a command has begun and is incomplete
 	commandStartedAt clock.AtomicMicros
-	backlogged       atomic.Bool // the last read returned as much as it could, so that more may have arrived
+	backlogged       atomic.Bool // much input was left after a read, and the reader has not caught up since
 
 	writeBlockedSince clock.AtomicMicros // since when a write has been waiting for the client; 0 if none is
 	inputBytes        atomic.Int64       // memory that is reserved for the incomplete command
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -143,11 +143,23 @@
 		return err
 	}
 	r.unread = r.chunk[:n]
-	r.client.backlogged.Store(n == len(r.chunk))
+	r.recordBacklog(n == len(r.chunk))
 	r.client.recordRead(r.clock.Now())
 	return nil
 }
 
+// recordBacklog records whether much input was left when some was read. It is until a read returns less than it could.
+func (r *commandReader) recordBacklog(full bool) {
+	c := r.client
+	switch {
+	case !full:
+		c.backlogged.Store(false)
+	case !c.backlogged.Load():
+		unread, known := socket.UnreadBytes(r.net)
+		c.backlogged.Store(known && unread >= socket.MaxUnreadBytes)
+	}
+}
+
 // readWithTimeout reads until the client's timeouts pass. Bytes that have arrived are read before a timeout applies: a
 // request whose last byte has arrived counts as received, even if this process reads it late.
 func (r *commandReader) readWithTimeout(b []byte) (int, error) {
