--- a/internal/testkit/overload/installation_test.go
+++ b/internal/testkit/overload/installation_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	_ "poppyarch/internal/broker/server" // the broker's code, so that a cached result is not used for another broker
 	"poppyarch/internal/nodes/discovery"
 	"poppyarch/internal/testkit/fake"
 )
