Pacing: one rejected upload does not make its client wait for seconds

Seen on reading the change once more: the size of a rejected request counts, 1 KiB as an answer. A rejected upload of 16 MiB counted as 16,384 answers, so that an honest client's next request on that connection would wait for up to 8 s, past its time.

Change: the size of one request counts as 72 answers at most, which is that of the largest command of the block protocol; a client has 256 at once. TestOneLargeUploadDoesNotMakeItsClientWait fails before (100 ms for the first wait), passes after.

--- a/internal/timing/pacing/pacing.go
+++ b/internal/timing/pacing/pacing.go
@@ -16,6 +16,8 @@
 	graceAnswers = 16
 	// bytesPerAnswer is the size of a request that costs as much as a further answer.
 	bytesPerAnswer = 1024
+	// maxSizeCost limits what the size of one request costs, so that a single rejected upload delays nobody.
+	maxSizeCost = 72
 	// maxDelay limits a single wait.
 	maxDelay = 100 * time.Millisecond
 )
@@ -51,9 +53,9 @@
 }
 
 // CountFreeAnswer records that the client gets a free answer to a request of the given size in bytes. A large request counts
-// as several answers.
+// as several answers, within limits.
 func (c *Client) CountFreeAnswer(now clock.Micros, requestBytes int) {
-	cost := 1 + float64(requestBytes/bytesPerAnswer)
+	cost := 1 + float64(min(requestBytes/bytesPerAnswer, maxSizeCost))
 	l := c.limiter
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/timing/pacing/pacing_test.go
+++ b/internal/timing/pacing/pacing_test.go
@@ -96,3 +96,12 @@
 		t.Error("a client that has sent 210 KiB for free answers does not wait")
 	}
 }
+
+func TestOneLargeUploadDoesNotMakeItsClientWait(t *testing.T) {
+	l := NewLimiter(1000, 200)
+	c := l.NewClient(0)
+	c.CountFreeAnswer(0, 16<<20)
+	if d := c.BeginWait(0); d > 0 {
+		t.Errorf("a client whose upload was rejected waits for %v before its next request", d)
+	}
+}
