Block frontend: a client that is made to wait loses no command that was read

Seen on reading the change once more, a fault of: a client with many free answers was made to wait before each command, also before those that had been read with the one before. If its connection was evicted or drained meanwhile, they were dropped: a request that was read and closed without an answer is lost.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -118,9 +118,6 @@
 // executeAll starts commands until the connection ends, and returns the reason as an error.
 func (c *conn) executeAll(ctx context.Context) error {
 	for {
-		if err := c.awaitTurn(); err != nil { // before the command is read: it would hold memory meanwhile
-			return err
-		}
 		cmd, err := c.reader.next()
 		if err != nil {
 			return err
--- a/internal/frontend/block/eviction_test.go
+++ b/internal/frontend/block/eviction_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 )
 
 // At the connection limit a client that has stopped sending within a command is evicted first, then one that has sent
@@ -197,3 +198,23 @@
 		expectText(t, nextIn, "$1\r\nv\r\n")
 	}
 }
+
+func TestRequestThatWasReadIsAnsweredAlthoughItsClientIsMadeToWait(t *testing.T) {
+	lim := testLimits()
+	lim.Clients.FreeAnswersPerSecond = 1
+	lim.Clients.FreeAnswerBurst = 1
+	h := newHarness(t, lim, 1)
+	flooding, floodingIn := h.dial()
+	pings := 30
+	send(flooding, strings.Repeat(encodeCommand("PING"), pings)+readCommand("a")) // arrive together
+	next, _ := h.dial()                                                           // needs the only connection
+	defer disconnect(next)
+	expectText(t, floodingIn, strings.Repeat("+PONG\r\n", pings))
+	select {
+	case <-h.broker.requests:
+	case <-time.After(testTimeout):
+		t.Fatal("a request that was read has not reached the broker")
+	}
+	h.broker.response("a") <- success("v")
+	expectText(t, floodingIn, "$1\r\nv\r\n")
+}
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -53,6 +53,9 @@
 func (r *commandReader) next() (redcon.Command, error) {
 	for {
 		raw, err := r.scan()
+		if err == nil && raw == nil {
+			err = r.awaitTurn()
+		}
 		if err == nil && raw == nil {
 			err = r.fill()
 		}
@@ -70,6 +73,15 @@
 	}
 }
 
+// awaitTurn makes a client wait that has had many free answers. All complete commands that were read have been returned by
+// then, and an incomplete one holds little memory.
+func (r *commandReader) awaitTurn() error {
+	if len(r.partial) > chunkBytes {
+		return nil
+	}
+	return r.client.awaitTurn()
+}
+
 // scan consumes unread bytes up to the end of a command and returns it, or nil if they hold no end.
 func (r *commandReader) scan() ([]byte, error) {
 	if len(r.unread) == 0 {
