Block frontend: waiting clients are closed only behind the commands that were read

If the connection is to end and a complete command has been read, the client does not wait: the command is answered first, and the connection ends when none is left.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -118,6 +118,9 @@
 // executeAll starts commands until the connection ends, and returns the reason as an error.
 func (c *conn) executeAll(ctx context.Context) error {
 	for {
+		if err := c.awaitTurn(); err != nil { // before the command is read: it would hold memory meanwhile
+			return err
+		}
 		cmd, err := c.reader.next()
 		if err != nil {
 			return err
@@ -142,7 +145,11 @@
 		if socket.PeerClosed(c.Conn) {
 			return core.ErrClientDisconnected
 		}
-		if c.reader.woken.Load() && c.pending.Load() == 0 {
+		woken := c.reader.woken.Load()
+		if woken && c.reader.hasUnreadCommand() {
+			return nil // a command that was read is answered before the connection ends
+		}
+		if woken && c.pending.Load() == 0 {
 			c.close(true, clientstats.ClosedEvicted)
 			return errIdle
 		}
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -53,9 +53,6 @@
 func (r *commandReader) next() (redcon.Command, error) {
 	for {
 		raw, err := r.scan()
-		if err == nil && raw == nil {
-			err = r.awaitTurn()
-		}
 		if err == nil && raw == nil {
 			err = r.fill()
 		}
@@ -73,13 +70,11 @@
 	}
 }
 
-// awaitTurn makes a client wait that has had many free answers. All complete commands that were read have been returned by
-// then, and an incomplete one holds little memory.
-func (r *commandReader) awaitTurn() error {
-	if len(r.partial) > chunkBytes {
-		return nil
-	}
-	return r.client.awaitTurn()
+// hasUnreadCommand reports whether the bytes that were read contain the end of another command.
+func (r *commandReader) hasUnreadCommand() bool {
+	ahead := r.scanner
+	_, complete, err := ahead.scanCommand(r.unread)
+	return complete || err != nil
 }
 
 // scan consumes unread bytes up to the end of a command and returns it, or nil if they hold no end.
