Frontends log the longest time for which a request waited to be read

Change: `longest_unread_ms` in the line `clients: closed, rejected and delayed`: the time for which a connection with input was made to wait before its next request was read. The object frontend counts `delayed` too; until now only the block frontend did.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -133,10 +133,15 @@
 
 // awaitTurn makes a client wait that has had many free answers. It returns an error if the connection ends meanwhile.
 func (c *conn) awaitTurn() error {
+	begun := c.server.clock.Now()
 	for {
-		delay := c.pace.BeginWait(c.server.clock.Now())
+		now := c.server.clock.Now()
+		delay := c.pace.BeginWait(now)
 		c.delayed.Store(delay > 0)
 		if delay == 0 {
+			if c.reader.hasInput() {
+				c.server.stats.RecordUnread(now - begun)
+			}
 			return nil
 		}
 		c.server.stats.Count(clientstats.Delayed)
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -70,6 +70,11 @@
 	}
 }
 
+// hasInput reports whether bytes wait to be scanned or read.
+func (r *commandReader) hasInput() bool {
+	return len(r.unread) > 0 || socket.Peek(r.net) == socket.Readable
+}
+
 // hasUnreadCommand reports whether the bytes that were read contain the end of another command.
 func (r *commandReader) hasUnreadCommand() bool {
 	ahead := r.scanner
--- a/internal/frontend/clientstats/clientstats.go
+++ b/internal/frontend/clientstats/clientstats.go
@@ -7,6 +7,8 @@
 	"log/slog"
 	"sync/atomic"
 	"time"
+
+	"poppyarch/internal/timing/clock"
 )
 
 // Event is something that a frontend does to a client.
@@ -39,9 +41,13 @@
 
 func (e Event) String() string { return names[e] }
 
+// longestUnreadKey is the key in the log of the longest time for which a request has waited to be read.
+const longestUnreadKey = "longest_unread_ms"
+
 // Counters counts events. Its zero value is ready to use, and its methods may be called by any goroutine.
 type Counters struct {
-	counts [eventCount]atomic.Uint64
+	counts        [eventCount]atomic.Uint64
+	longestUnread clock.AtomicMicros // since the last line of the log
 }
 
 // Count counts one event.
@@ -50,6 +56,18 @@
 // Get returns how often an event was counted.
 func (c *Counters) Get(e Event) uint64 { return c.counts[e].Load() }
 
+// RecordUnread records for how long a request waited, after it had arrived, until it was read.
+func (c *Counters) RecordUnread(unread clock.Micros) {
+	for longest := c.longestUnread.Load(); unread > longest; longest = c.longestUnread.Load() {
+		if c.longestUnread.CompareAndSwap(longest, unread) {
+			return
+		}
+	}
+}
+
+// LongestUnread returns the longest time that was recorded since the last line of the log.
+func (c *Counters) LongestUnread() clock.Micros { return c.longestUnread.Load() }
+
 // Report logs the counts every interval if any has changed, until ctx is done. state returns further attributes of the
 // line.
 func (c *Counters) Report(ctx context.Context, interval time.Duration, log *slog.Logger, state func() []any) {
@@ -63,6 +81,9 @@
 		case <-ticker.C:
 		}
 		if attributes := c.changes(&logged); len(attributes) > 0 {
+			if longest := c.longestUnread.Swap(0); longest > 0 {
+				attributes = append(attributes, longestUnreadKey, clock.Duration(longest).Milliseconds())
+			}
 			log.Info("clients: closed, rejected and delayed", append(attributes, state()...)...)
 		}
 	}
--- a/internal/frontend/clientstats/clientstats_test.go
+++ b/internal/frontend/clientstats/clientstats_test.go
@@ -22,6 +22,8 @@
 		}()
 		c.Count(ClosedStalled)
 		c.Count(ClosedStalled)
+		c.RecordUnread(1_500_000)
+		c.RecordUnread(700_000)
 		time.Sleep(1500 * time.Millisecond)
 		c.Count(Delayed)
 		time.Sleep(3 * time.Second)
@@ -31,7 +33,7 @@
 		if len(lines) != 2 {
 			t.Fatalf("got %d lines, want one for each interval with a change:\n%s", len(lines), out.String())
 		}
-		for i, want := range []string{"closed_stalled=2 conns=7", "delayed=1 conns=7"} {
+		for i, want := range []string{"closed_stalled=2 longest_unread_ms=1500 conns=7", "delayed=1 conns=7"} {
 			if !strings.HasSuffix(lines[i], want) {
 				t.Errorf("line %d is %q, want it to end in %q", i, lines[i], want)
 			}
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -28,6 +28,9 @@
 // healthPath is the path of health checks, which are answered without a request to the broker.
 const healthPath = "/_health"
 
+// noticeableWait is the shortest wait of a request that is recorded.
+const noticeableWait clock.Micros = 1000
+
 // Broker executes requests. Handle returns the single, final response to a request.
 type Broker interface {
 	Handle(ctx context.Context, r core.Request[*objectstore.Request]) core.Response[*objectstore.Response]
@@ -127,6 +130,7 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := s.newExchange(w, r)
+	s.recordUnread(x)
 	w.Header().Set("X-Amz-Request-Id", x.id)
 	if r.URL.Path == healthPath {
 		w.Header().Set("Content-Type", "text/plain")
@@ -172,6 +176,15 @@
 	}
 }
 
+// recordUnread records a request that has waited to be handled.
+func (s *Server) recordUnread(x *exchange) {
+	arrivedAt, ok := httpserver.ArrivedAt(x.r.Context())
+	if unread := x.receivedAt - arrivedAt; ok && unread >= noticeableWait {
+		s.stats.Count(clientstats.Delayed)
+		s.stats.RecordUnread(unread)
+	}
+}
+
 // countError counts and logs a request that is answered with an error of this server's own.
 func (s *Server) countError(x *exchange, err error) {
 	event, ok := eventOf(err)
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -26,6 +26,8 @@
 
 	pace *pacing.Client // nil if the client is not slowed down
 
+	arrivedAt clock.Micros // when the head of the current request had been read; used by the handler's goroutine
+
 	// Guarded by the server's mu.
 	state      http.ConnState
 	stateSince clock.Micros
@@ -335,6 +337,17 @@
 	}
 }
 
+// ArrivedAt returns when the head of a context's request had been read, before its client was made to wait. ok is false if
+// the request does not come from a Server.
+func ArrivedAt(ctx context.Context) (at clock.Micros, ok bool) {
+	nc, _ := ConnOf(ctx)
+	c, ok := nc.(*conn)
+	if !ok {
+		return 0, false
+	}
+	return c.arrivedAt, true
+}
+
 type connKey struct{}
 
 // contextWithConn adds a request's connection to its context.
