Block frontend: the test of a client in debt fails on the code before its fix

Its last form did not: with one client alone the share was large enough for 12 commands.

Change: the client is in debt beside ten flooding ones, which leaves it a tenth of the rate.

--- a/internal/frontend/block/waiting_test.go
+++ b/internal/frontend/block/waiting_test.go
@@ -41,13 +41,9 @@
 	panic("not reached")
 }
 
-// Guards against a client whose sound requests are rejected and that is then not read for seconds, because others send
-// commands that are no requests: the rate of free answers leaves each of them less than one in ten seconds.
-func TestRejectedClientIsReadBesideFloodingClients(t *testing.T) {
-	lim := testLimits()
-	lim.Clients.FreeAnswersPerSecond = 1
-	lim.Clients.FreeAnswerBurst = 4 * batchSize
-	h := newHarness(t, lim, 64)
+// startFlood connects clients that send commands that are no requests, and returns when they are made to wait.
+func (h *harness) startFlood() {
+	h.t.Helper()
 	const floodingClients = 10
 	for range floodingClients {
 		c, _ := h.dial()
@@ -62,6 +58,16 @@
 		}
 		return delayed == floodingClients
 	})
+}
+
+// Guards against a client whose sound requests are rejected and that is then not read for seconds, because others send
+// commands that are no requests: the rate of free answers leaves each of them less than one in ten seconds.
+func TestRejectedClientIsReadBesideFloodingClients(t *testing.T) {
+	lim := testLimits()
+	lim.Clients.FreeAnswersPerSecond = 1
+	lim.Clients.FreeAnswerBurst = 4 * batchSize
+	h := newHarness(t, lim, 64)
+	h.startFlood()
 	usual, in := h.dial()
 	for number := range 3 {
 		h.rejectBatch(usual, func(want string) { expectText(t, in, want) }, number)
@@ -74,7 +80,8 @@
 	lim := testLimits()
 	lim.Clients.FreeAnswersPerSecond = 1
 	lim.Clients.FreeAnswerBurst = 4
-	h := newHarness(t, lim, 4)
+	h := newHarness(t, lim, 64)
+	h.startFlood()
 	c, in := h.dial()
 	const commands = 12
 	send(c, strings.Repeat(encodeCommand("FLUSHALL"), commands)+readCommand("a"))
