--- a/internal/frontend/object/errors.go
+++ b/internal/frontend/object/errors.go
@@ -32,6 +32,7 @@
 	errBodyStalled       = &apiError{400, "RequestTimeout", "The request body was not received in time. Nothing was done."}
 	errNoMemory          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
 	errDraining          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
+	errExpired           = &apiError{503, "SlowDown", "The request was not read within its time. Nothing was done."}
 	errSlowDown          = &apiError{503, "SlowDown", "Please reduce your request rate. Nothing was done."}
 	errTimeout           = &apiError{504, "GatewayTimeout", "The request was not answered in time. It may have been carried out."}
 	errInternal          = &apiError{500, "InternalError", "We encountered an internal error. The request may have been carried out."}
--- a/internal/frontend/object/exchange.go
+++ b/internal/frontend/object/exchange.go
@@ -19,9 +19,10 @@
 const (
 	maxKeyBytes   = 1024
 	timeoutHeader = "X-Timeout-Ms"
-	// drainRetryAfter and memoryRetryAfter are values of the Retry-After header, in seconds.
-	drainRetryAfter  = "1"
-	memoryRetryAfter = "1"
+	// drainRetryAfter, memoryRetryAfter and expiredRetryAfter are values of the Retry-After header, in seconds.
+	drainRetryAfter   = "1"
+	memoryRetryAfter  = "1"
+	expiredRetryAfter = "1"
 	// maxQueryFields limits the names in a query. The operations of the API have three at most.
 	maxQueryFields = 16
 )
@@ -74,6 +75,10 @@
 	op := operationOf(x.r.Method, x.query)
 	x.setClass(op)
 	x.setDeadline(timeout)
+	if x.deadline <= x.server.clock.Now() {
+		x.w.Header().Set("Retry-After", expiredRetryAfter)
+		return errExpired
+	}
 	return x.execute(op)
 }
 
--- a/internal/frontend/object/harness_test.go
+++ b/internal/frontend/object/harness_test.go
@@ -64,12 +64,17 @@
 	received chan string // targets
 	padding  string      // appended to each response
 
-	mu   sync.Mutex
-	held map[string]chan struct{}
+	mu        sync.Mutex
+	held      map[string]chan struct{}
+	deadlines map[string]clock.Micros // by target
 }
 
 func newFakeBroker() *fakeBroker {
-	return &fakeBroker{received: make(chan string, 16), held: map[string]chan struct{}{}}
+	return &fakeBroker{
+		received:  make(chan string, 16),
+		held:      map[string]chan struct{}{},
+		deadlines: map[string]clock.Micros{},
+	}
 }
 
 // hold makes requests of a target wait until the channel is closed.
@@ -80,10 +85,18 @@
 	return b.held[target]
 }
 
+// deadline returns the deadline of the request of a target.
+func (b *fakeBroker) deadline(target string) clock.Micros {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.deadlines[target]
+}
+
 // Handle implements Broker.
 func (b *fakeBroker) Handle(ctx context.Context, r core.Request[*objectstore.Request]) core.Response[*objectstore.Response] {
 	b.received <- r.Work.Target
 	b.mu.Lock()
+	b.deadlines[r.Work.Target] = r.Deadline
 	released := b.held[r.Work.Target]
 	b.mu.Unlock()
 	if released != nil {
@@ -234,6 +247,12 @@
 }
 
 func newDrainHarness(t *testing.T, maxConns int) *drainHarness {
+	t.Helper()
+	return newPacedHarness(t, maxConns, pacing.NewLimiter(1000, 1000))
+}
+
+// newPacedHarness returns a harness whose clients are slowed down by pacer.
+func newPacedHarness(t *testing.T, maxConns int, pacer *pacing.Limiter) *drainHarness {
 	t.Helper()
 	cfg, err := config.Parse([]byte(testConfig+drainTuning+"}"), func(string) string { return "" })
 	if err != nil {
@@ -249,7 +268,9 @@
 		listener: newHeldListener(ln),
 		drained:  make(chan error, 1),
 	}
-	h.server = New(h.broker, cfg, testOptions(cfg, maxConns), clock.New(), slog.New(slog.DiscardHandler))
+	options := testOptions(cfg, maxConns)
+	options.Pacing = pacer
+	h.server = New(h.broker, cfg, options, clock.New(), slog.New(slog.DiscardHandler))
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
--- a/internal/frontend/object/server.go
+++ b/internal/frontend/object/server.go
@@ -28,9 +28,6 @@
 // healthPath is the path of health checks, which are answered without a request to the broker.
 const healthPath = "/_health"
 
-// noticeableWait is the shortest wait of a request that is recorded.
-const noticeableWait clock.Micros = 1000
-
 // Broker executes requests. Handle returns the single, final response to a request.
 type Broker interface {
 	Handle(ctx context.Context, r core.Request[*objectstore.Request]) core.Response[*objectstore.Response]
@@ -130,7 +127,6 @@
 // ServeHTTP answers one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := s.newExchange(w, r)
-	s.recordUnread(x)
 	w.Header().Set("X-Amz-Request-Id", x.id)
 	if r.URL.Path == healthPath {
 		w.Header().Set("Content-Type", "text/plain")
@@ -163,25 +159,24 @@
 	return func() bool { return socket.MayHaveEnded(c) }
 }
 
-// newExchange returns the exchange for a request that has just arrived.
+// newExchange returns the exchange for a request. Its time counts from its arrival, which may be long before it was read.
 func (s *Server) newExchange(w http.ResponseWriter, r *http.Request) *exchange {
 	now := s.clock.Now()
+	receivedAt := now
+	if arrival, ok := httpserver.ArrivalOf(r.Context()); ok {
+		receivedAt = arrival.At
+		s.stats.RecordUnread(now - receivedAt)
+		if arrival.Delayed {
+			s.stats.Count(clientstats.Delayed)
+		}
+	}
 	return &exchange{
 		server:     s,
 		w:          w,
 		r:          r,
 		control:    http.NewResponseController(w),
 		id:         fmt.Sprintf("%s-%x-%d", s.cfg.Name, uint64(now), s.lastID.Add(1)),
-		receivedAt: now,
-	}
-}
-
-// recordUnread records a request that has waited to be handled.
-func (s *Server) recordUnread(x *exchange) {
-	arrivedAt, ok := httpserver.ArrivedAt(x.r.Context())
-	if unread := x.receivedAt - arrivedAt; ok && unread >= noticeableWait {
-		s.stats.Count(clientstats.Delayed)
-		s.stats.RecordUnread(unread)
+		receivedAt: receivedAt,
 	}
 }
 
@@ -217,6 +212,8 @@
 		return clientstats.RejectedMemory, true
 	case errors.Is(err, errDraining):
 		return clientstats.RejectedDraining, true
+	case errors.Is(err, errExpired):
+		return clientstats.RejectedExpired, true
 	case errors.As(err, &api) && api.status < http.StatusInternalServerError:
 		return clientstats.RejectedUnsound, true
 	}
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -26,7 +26,7 @@
 
 	pace *pacing.Client // nil if the client is not slowed down
 
-	arrivedAt clock.Micros // when the head of the current request had been read; used by the handler's goroutine
+	arrival Arrival // of the current request; used by the handler's goroutine
 
 	// Guarded by the server's mu.
 	state      http.ConnState
@@ -40,10 +40,11 @@
 	readingBody  bool // the handler waits for more of the body
 	cutOff       bool // to be closed for another client, unless more of its request arrives
 	lastReadAt   clock.Micros
-	readDeadline time.Time // as net/http or the handler has set it
-	partDeadline time.Time // by which more of the request must have arrived; zero if nothing is awaited
-	interrupted  bool      // pastDeadline is in force in place of the others
-	ended        bool      // Read has ended the connection: nothing more is read or written
+	inputAt      clock.Micros // when the bytes that were read last had arrived
+	readDeadline time.Time    // as net/http or the handler has set it
+	partDeadline time.Time    // by which more of the request must have arrived; zero if nothing is awaited
+	interrupted  bool         // pastDeadline is in force in place of the others
+	ended        bool         // Read has ended the connection: nothing more is read or written
 	input        requestInput
 }
 
@@ -52,16 +53,40 @@
 
 // Read reads from the client. While the connection is to end, it reads only bytes that have already arrived.
 func (c *conn) Read(b []byte) (int, error) {
+	waitedSince, waited := c.inputWaitsSince()
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readArrived(b, err)
 	}
-	if n > 0 && !c.recordRead(b[:n]) {
+	if n == 0 {
+		return n, err
+	}
+	arrivedAt := c.server.clock.Now()
+	if waited {
+		arrivedAt = waitedSince
+	}
+	if !c.recordRead(b[:n], arrivedAt) {
 		return 0, errTooManyFields
 	}
 	return n, err
 }
 
+// inputWaitsSince returns since when input has waited to be read. ok is false if none does, or if it belongs to the body of
+// a request or follows that.
+func (c *conn) inputWaitsSince() (since clock.Micros, ok bool) {
+	if c.isBusy() || socket.Peek(c.Conn) != socket.Readable {
+		return 0, false
+	}
+	waits, ok := socket.SinceLastArrival(c.Conn)
+	return c.server.clock.Now() - clock.FromDuration(waits), ok
+}
+
+func (c *conn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // readArrived reads bytes that have already arrived if the read has timed out because the connection is to end. If
 // there are none, or the time-out is one of net/http, it returns timeout.
 func (c *conn) readArrived(b []byte, timeout error) (int, error) {
@@ -98,12 +123,13 @@
 	return c.ended
 }
 
-// recordRead records bytes that net/http has read. A connection that was to be closed for another client is kept for them.
+// recordRead records bytes that net/http has read, and when they had arrived. A connection that was to be closed for another client is kept for them.
 // It returns false if the head of the request has too many fields.
-func (c *conn) recordRead(b []byte) bool {
+func (c *conn) recordRead(b []byte, arrivedAt clock.Micros) bool {
 	c.mu.Lock()
 	keep := c.cutOff || c.evicted && !c.busy
 	c.lastReadAt = c.server.clock.Now()
+	c.inputAt = arrivedAt
 	if !c.busy && !c.requestBegun {
 		c.requestBegun = true
 		c.awaitPart(c.server.opts.HeadTimeout)
@@ -313,6 +339,15 @@
 	return sc.SyscallConn()
 }
 
+// beginArrival records the arrival of a request whose head has been read. A head that was read together with an earlier request
+// has arrived with that.
+func (c *conn) beginArrival() {
+	now := c.server.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrival = Arrival{At: min(now, c.inputAt)}
+}
+
 // awaitTurn makes a client wait that has had many free answers.
 func (c *conn) awaitTurn() {
 	if c.pace == nil {
@@ -323,6 +358,7 @@
 		if delay == 0 {
 			return
 		}
+		c.arrival.Delayed = true
 		time.Sleep(delay)
 		c.pace.EndWait()
 	}
@@ -337,15 +373,20 @@
 	}
 }
 
-// ArrivedAt returns when the head of a context's request had been read, before its client was made to wait. ok is false if
-// the request does not come from a Server.
-func ArrivedAt(ctx context.Context) (at clock.Micros, ok bool) {
+// Arrival tells when a request has come.
+type Arrival struct {
+	At      clock.Micros // when its head had arrived, which may have waited to be read since
+	Delayed bool         // its client was made to wait, as it got many free answers
+}
+
+// ArrivalOf returns the arrival of a context's request. ok is false if the request does not come from a Server.
+func ArrivalOf(ctx context.Context) (a Arrival, ok bool) {
 	nc, _ := ConnOf(ctx)
 	c, ok := nc.(*conn)
 	if !ok {
-		return 0, false
+		return Arrival{}, false
 	}
-	return c.arrivedAt, true
+	return c.arrival, true
 }
 
 type connKey struct{}
--- a/internal/transport/httpserver/handler.go
+++ b/internal/transport/httpserver/handler.go
@@ -26,7 +26,7 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	c.arrivedAt = c.server.clock.Now()
+	c.beginArrival()
 	c.awaitTurn()
 	c.beginRequest(r.ContentLength)
 	body := &requestBody{ReadCloser: r.Body, conn: c, left: r.ContentLength}
