Drain: requests that were read do not wait for their client's turn

What callers would see: at a planned restart, no answer to requests that the broker had read before SIGKILL, if their client had had many free answers.

Change: the object frontend paces nobody once the drain has begun; its answers end their connections then. The block frontend executes what it has read without a wait once its listener is closed.

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -146,6 +146,9 @@
 // awaitTurn makes a client wait that has had many free answers. It returns an error if the connection ends meanwhile.
 func (c *conn) awaitTurn() error {
 	for {
+		if c.server.drain.listenerClosed.Load() && c.reader.hasUnreadCommand() {
+			return nil // at the end of a drain, what was read is answered before the process is killed
+		}
 		c.reader.observeWaiting()
 		delay := c.pace.BeginWait(c.server.clock.Now())
 		c.delayed.Store(delay > 0)
--- a/internal/frontend/block/waiting_test.go
+++ b/internal/frontend/block/waiting_test.go
@@ -185,3 +185,39 @@
 		t.Errorf("%d requests are counted as expired, want 1", n)
 	}
 }
+
+// Guards against a drain in which commands that were read wait for their client's turn, so that they are not answered before
+// the process is killed. An earlier request without a response keeps the connection from being woken.
+func TestReadCommandsDoNotWaitAtTheEndOfADrain(t *testing.T) {
+	const (
+		commands = 30
+		atMost   = commands * pacing.MaxWait / 2 // pacing alone would take about twice that
+	)
+	lim := testLimits()
+	oneFreeAnswer(lim)
+	lim.DrainServeTime = millisecond
+	h := newHarness(t, lim, 64)
+	h.startFlood()
+	c, in := h.dial()
+	send(c, readWithin("a", time.Hour)+strings.Repeat(encodeCommand("FLUSHALL"), commands))
+	h.nextRequest()
+	drained := make(chan error, 1)
+	begun := time.Now()
+	go func() { drained <- h.server.Drain(t.Context()) }()
+	h.waitUntil("all commands have their replies", func() bool {
+		for serverConn := range h.server.conns.conns {
+			if serverConn.RemoteAddr().String() == c.LocalAddr().String() {
+				return serverConn.pending.Load() == commands+1
+			}
+		}
+		return false
+	})
+	if took := time.Since(begun); took > atMost {
+		t.Errorf("the commands were executed %v after the end of the drain began, want at most %v", took, atMost)
+	}
+	h.broker.response("a") <- success("v")
+	expectText(t, in, "$1\r\nv\r\n"+strings.Repeat("-ERR unknown command\r\n", commands))
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -348,12 +348,13 @@
 	c.arrival = Arrival{At: min(now, c.inputAt)}
 }
 
-// awaitTurn makes a client wait that has had many free answers.
+// awaitTurn makes a client wait that has had many free answers. In a drain nobody waits, as requests that were read must be
+// answered before its end.
 func (c *conn) awaitTurn() {
 	if c.pace == nil {
 		return
 	}
-	for {
+	for !c.isDraining() {
 		delay := c.pace.BeginWait(c.server.clock.Now())
 		if delay == 0 {
 			return
@@ -364,6 +365,12 @@
 	}
 }
 
+func (c *conn) isDraining() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.mode >= endAnswered
+}
+
 // CountFreeAnswer records that the request of a context, with the given size in bytes, is answered without any work for it.
 // A client that gets many such answers is made to wait before its next request.
 func CountFreeAnswer(ctx context.Context, kind pacing.Kind, requestBytes int) {
--- a/internal/transport/httpserver/waiting_test.go
+++ b/internal/transport/httpserver/waiting_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
+	"poppyarch/internal/timing/clock"
 	"poppyarch/internal/timing/pacing"
 )
 
@@ -41,3 +44,32 @@
 	_, in := connect(t, addr, strings.Repeat(getRequest, requests))
 	expectAnswers(t, in, requests)
 }
+
+// Guards against a drain in which requests that were read wait for their clients' turn, so that they are not answered before
+// the process is killed.
+func TestNobodyWaitsInADrain(t *testing.T) {
+	const (
+		requests = 50
+		atMost   = requests * pacing.MaxWait / 4 // pacing alone would take about four times that
+	)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := New(&http.Server{Handler: http.HandlerFunc(countFree)}, Options{Pacing: pacing.NewLimiter(1, 1)}, clock.New())
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(ln) }()
+	_, in := connect(t, ln.Addr().String(), strings.Repeat(getRequest, requests))
+	expectAnswers(t, in, 1)
+	begun := time.Now()
+	if err := s.Drain(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if took := time.Since(begun); took > atMost {
+		t.Errorf("the drain took %v, want at most %v", took, atMost)
+	}
+	expectAnswers(t, in, requests-1)
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
