Object frontend: the check of a completion ends with the drain

Cause: the drain deadline ends the completion's attempt, which makes its result unknown. The loop that then reads the object back asked only for the request's own deadline (20 s) and for the client. Each further read failed at once, as the drain had ended its context, and the loop went on every 0.1 s beyond SIGKILL.

Change: answerDue is the deadline of the request or of the drain, whichever is earlier, and is asked for before each check; the end of the drain ends the wait between two. A completion that comes in a drain takes the time for its check from the drain's.

--- a/internal/frontend/object/complete.go
+++ b/internal/frontend/object/complete.go
@@ -24,9 +24,10 @@
 	if err != nil {
 		return err
 	}
-	// A part of the time until the client's deadline is reserved for reading back.
+	// A part of the time until the answer is due is reserved for reading back.
 	now := x.server.clock.Now()
-	deadline := x.deadline - min(x.server.lim.ReadBackTime, (x.deadline-now)/3)
+	due := x.answerDue()
+	deadline := due - min(x.server.lim.ReadBackTime, (due-now)/3)
 	resp, err := x.forward(x.backendRequest(x.class, upload.shard, http.MethodPost, "?"+upload.nodeQuery(), deadline))
 	switch {
 	case err == nil && resp.Status != http.StatusNotFound:
@@ -43,7 +44,7 @@
 
 // readBackCompletion checks whether the object has the entity tag that the completion gives it. The completion has
 // ended with resp if the upload was not found, or else with completionErr. In that case it may still be in progress at
-// the node, and the check is repeated until the deadline.
+// the node, and the check is repeated until the answer is due.
 func (x *exchange) readBackCompletion(shard int, wantETag string, resp *objectstore.Response, completionErr error) error {
 	s := x.server
 	for {
@@ -62,15 +63,27 @@
 		if completionErr == nil { // the upload does not exist, and the object was not created from these parts
 			return x.writeResponse(resp)
 		}
-		if s.clock.Now()+s.lim.ReadBackInterval >= x.deadline {
+		if !x.awaitNextReadBack() {
 			x.w.Header().Del("Retry-After") // a retry may not be safe
 			return completionErr
 		}
-		select {
-		case <-x.r.Context().Done():
-			return completionErr
-		case <-time.After(clock.Duration(s.lim.ReadBackInterval)):
-		}
+	}
+}
+
+// awaitNextReadBack waits until the object may be read back again. It returns false if there is no time for that before the
+// answer is due, or if the client has left.
+func (x *exchange) awaitNextReadBack() bool {
+	s := x.server
+	if s.clock.Now()+s.lim.ReadBackInterval >= x.answerDue() {
+		return false
+	}
+	select {
+	case <-x.r.Context().Done():
+		return false
+	case <-s.base.Done(): // the end of a drain that has begun meanwhile
+		return false
+	case <-time.After(clock.Duration(s.lim.ReadBackInterval)):
+		return true
 	}
 }
 
@@ -78,7 +91,7 @@
 func (x *exchange) readBack(shard int, wantETag string) (*objectstore.Response, bool) {
 	cfg := x.server.cfg
 	readClass := cfg.ClassIndex(cfg.Object.ReadClass)
-	req := x.backendRequest(readClass, shard, http.MethodHead, "", x.deadline)
+	req := x.backendRequest(readClass, shard, http.MethodHead, "", x.answerDue())
 	req.Work.Header = http.Header{}
 	req.Work.Body = nil
 	resp, err := x.forward(req)
--- a/internal/frontend/object/exchange.go
+++ b/internal/frontend/object/exchange.go
@@ -138,6 +138,14 @@
 	}
 }
 
+// answerDue returns when the request must be answered: at its deadline, or at the drain deadline if that is earlier.
+func (x *exchange) answerDue() clock.Micros {
+	if drainDeadline := x.server.drainDeadline.Load(); drainDeadline > 0 {
+		return min(x.deadline, drainDeadline)
+	}
+	return x.deadline
+}
+
 // shard returns the shard that stores the object. It depends only on the object's name, so that all brokers agree on
 // it.
 func (x *exchange) shard() int {
