Object frontend: the test of a check within a drain fails without the fix

Change: the answer has to come before the drain deadline. Measured: with the complete.go and exchange.go from before it comes at 3.55 s, the deadline itself, and the test fails; now before it.

--- a/internal/frontend/object/complete_drain_test.go
+++ b/internal/frontend/object/complete_drain_test.go
@@ -167,9 +167,10 @@
 			defer cancel()
 			return hangingNode(ctx, r)
 		}
-		status, _, _ := completionTest{node, 2 * time.Second, time.Second, 3550 * time.Millisecond}.run(t)
-		if status != http.StatusOK {
-			t.Errorf("status %d, want 200", status)
+		const drainBegin, drainTime = time.Second, 3550 * time.Millisecond
+		status, _, at := completionTest{node, 2 * time.Second, drainBegin, drainTime}.run(t)
+		if status != http.StatusOK || at >= drainBegin+drainTime {
+			t.Errorf("status %d, %v after the drain of %v began, want 200 before its end", status, at-drainBegin, drainTime)
 		}
 	})
 }
