Object frontend: a drain ends bodies that do not come, and no attempt begins after it

What callers would see: a drain that goes on beyond its deadline, up to SIGKILL, while a client sends its body slowly or has stopped within it; and a request whose body comes to its end after the deadline was passed to a node, with an answer that may not come before SIGKILL.

The drain deadline ended connections whose next head was incomplete, not reads of a body; these went on until the client had stopped for 2.5 s or, if it went on slowly, until its class's deadline. And forward relied on a context that ends in a goroutine of its own, so that an attempt could begin first.

Change: at the drain deadline, reads of a body of which nothing more has arrived end; the request is answered with 503 and Retry-After, as nothing was done. forward begins nothing once the deadline has passed.

Tests, failing before: TestDrainEndsIncompleteBodiesAtItsDeadline (2.5 s and 25 s after a drain of 0.1 s, status 400), TestRequestThatIsCompleteAfterTheDrainDeadlineIsNotExecuted (executed).

--- a/internal/frontend/object/body.go
+++ b/internal/frontend/object/body.go
@@ -67,6 +67,8 @@
 	n, err := x.r.Body.Read(x.body[len(x.body):cap(x.body)])
 	x.body = x.body[:len(x.body)+n]
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded) && x.server.drainDeadlinePassed():
+		return x.draining()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return errBodyStalled
 	case err != nil && !errors.Is(err, io.EOF), n == 0 && err != nil:
@@ -112,6 +114,12 @@
 	return false
 }
 
+// draining returns the error of a request that could not be executed by the drain deadline.
+func (x *exchange) draining() error {
+	x.w.Header().Set("Retry-After", drainRetryAfter)
+	return errDraining
+}
+
 // noMemory returns the error of a request for which there is no memory.
 func (x *exchange) noMemory() error {
 	x.w.Header().Set("Retry-After", memoryRetryAfter)
--- a/internal/frontend/object/complete.go
+++ b/internal/frontend/object/complete.go
@@ -32,7 +32,7 @@
 	switch {
 	case err == nil && resp.Status != http.StatusNotFound:
 		return x.writeResponse(resp)
-	case errors.Is(err, errSlowDown): // nothing was executed
+	case errors.Is(err, errSlowDown), errors.Is(err, errDraining): // nothing was executed
 		return err
 	case wantETag != "":
 		return x.readBackCompletion(upload.shard, wantETag, resp, err)
--- a/internal/frontend/object/drain_test.go
+++ b/internal/frontend/object/drain_test.go
@@ -1,10 +1,17 @@
 package object
 
 import (
+	"context"
+	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
+	"poppyarch/internal/backend/objectstore"
+	"poppyarch/internal/timing/clock"
 	"poppyarch/internal/transport/socket"
 )
 
@@ -171,3 +178,53 @@
 	c.expectNoAnswer()
 	h.expectDrained()
 }
+
+// Guards against a drain that waits beyond its deadline for bodies: of clients that have stopped, and of slow ones.
+func TestDrainEndsIncompleteBodiesAtItsDeadline(t *testing.T) {
+	const head = "PUT /art/slow HTTP/1.1\r\nHost: b\r\nContent-Length: 100000\r\n\r\n"
+	for name, pause := range map[string]time.Duration{"stopped": time.Hour, "slow": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			h := newDrainHarness(t, 8)
+			h.server.lim.DrainResponseTime = 100_000
+			c := h.dial()
+			c.send(head + "x")
+			go func() {
+				for { // until the connection ends
+					<-time.After(pause)
+					if _, err := io.WriteString(c, "x"); err != nil {
+						return
+					}
+				}
+			}()
+			begun := time.Now()
+			h.startDrain()
+			resp, err := http.ReadResponse(c.in, nil)
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || !resp.Close {
+				t.Errorf("got %v, %v, want 503 with Retry-After and a close", resp, err)
+			}
+			// Without the end of the drain the answer comes with that of stalled bodies, or at the class's deadline.
+			if took := time.Since(begun); took > clock.Duration(h.server.lim.Clients.ObjectReceiveTimeout)/2 {
+				t.Errorf("answered %v after the drain began", took)
+			}
+			_ = c.Close()
+			h.expectDrained()
+		})
+	}
+}
+
+// Guards against attempts that begin when the drain is over: a request whose body comes to its end after the drain deadline is
+// refused, with the word that nothing was done.
+func TestRequestThatIsCompleteAfterTheDrainDeadlineIsNotExecuted(t *testing.T) {
+	const etag = `"59adb24ef3cdbe0297f05b395827453f-1"`
+	synctest.Test(t, func(t *testing.T) {
+		executed := false
+		node := func(context.Context, objectRequest) objectResponse {
+			executed = true
+			return objectResponse{Value: &objectstore.Response{Status: http.StatusOK, Header: http.Header{"Etag": {etag}}}}
+		}
+		status, retryAfter, _ := completionTest{node, 2 * time.Second, time.Second, time.Second}.run(t)
+		if status != http.StatusServiceUnavailable || retryAfter == "" || executed {
+			t.Errorf("status %d, Retry-After %q, executed %v, want 503, a time and false", status, retryAfter, executed)
+		}
+	})
+}
--- a/internal/frontend/object/exchange.go
+++ b/internal/frontend/object/exchange.go
@@ -69,8 +69,7 @@
 		}
 	}
 	if x.server.drainDeadlinePassed() {
-		x.w.Header().Set("Retry-After", drainRetryAfter)
-		return errDraining
+		return x.draining()
 	}
 	op := operationOf(x.r.Method, x.query)
 	x.setClass(op)
@@ -156,6 +155,9 @@
 
 // forward passes a request to the broker. It returns the response of an object server, or an apiError if there is none.
 func (x *exchange) forward(req core.Request[*objectstore.Request]) (*objectstore.Response, error) {
+	if x.server.drainDeadlinePassed() {
+		return nil, x.draining()
+	}
 	ctx, cancel := context.WithCancelCause(x.r.Context())
 	defer cancel(nil)
 	stop := context.AfterFunc(x.server.base, func() {
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -205,7 +205,7 @@
 		return true
 	}
 	if c.busy {
-		return false
+		return c.readingBody && c.mode >= endIncomplete
 	}
 	return c.evicted || c.mode >= endIncomplete || c.mode >= endIdle && !c.requestBegun
 }
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -52,7 +52,7 @@
 	endNone       endMode = iota
 	endAnswered           // those whose client is told so by the response to its current request
 	endIdle               // those that wait for a request of which nothing has arrived
-	endIncomplete         // those whose next request has not arrived completely
+	endIncomplete         // those whose next request, or the body of whose current one, has not arrived completely
 )
 
 // Server serves the clients of one listener. Its methods may be called by any goroutine.
@@ -143,7 +143,8 @@
 	return ctx.Err()
 }
 
-// ExpireIncomplete ends the connections whose next request has not arrived completely, now and in future.
+// ExpireIncomplete ends the connections whose next request has not arrived completely, now and in future. Reads of a body of
+// which nothing more has arrived fail with a time-out, and the handler answers the request.
 func (s *Server) ExpireIncomplete() { s.endConns(endIncomplete) }
 
 // ConnCount returns the number of connections.
