Object frontend: the answer to a completion has no Retry-After of its check

A client that follows it repeats a completion that cannot succeed.

Cause: a rejected read of the object sets the header on the one response, and only two of the three ways out of the check removed it.

Change: the read itself removes it. Test, failing before: TestAnswerToACompletionDoesNotHaveTheRetryAfterOfItsCheck (Retry-After "2").

--- a/internal/frontend/object/complete.go
+++ b/internal/frontend/object/complete.go
@@ -51,7 +51,6 @@
 		if object, ok := x.readBack(shard, wantETag); ok {
 			s.log.Info("upload completion confirmed by reading the object back",
 				"bucket", x.bucket, "key", x.key, "request", x.id)
-			x.w.Header().Del("Retry-After")
 			return x.writeDocument(object, completeUploadResult{
 				Xmlns:    xmlNamespace,
 				Location: "/" + x.bucket + "/" + x.key,
@@ -64,7 +63,6 @@
 			return x.writeResponse(resp)
 		}
 		if !x.awaitNextReadBack() {
-			x.w.Header().Del("Retry-After") // a retry may not be safe
 			return completionErr
 		}
 	}
@@ -89,6 +87,7 @@
 
 // readBack requests the object's header and reports whether the object exists and has the entity tag.
 func (x *exchange) readBack(shard int, wantETag string) (*objectstore.Response, bool) {
+	defer x.w.Header().Del("Retry-After") // that of a read: a retry of the completion may not be safe
 	cfg := x.server.cfg
 	readClass := cfg.ClassIndex(cfg.Object.ReadClass)
 	req := x.backendRequest(readClass, shard, http.MethodHead, "", x.answerDue())
--- a/internal/frontend/object/complete_test.go
+++ b/internal/frontend/object/complete_test.go
@@ -106,3 +106,16 @@
 		t.Errorf("status %d, Retry-After %q, %d requests, want 503, \"2\", 1", w.Code, w.Header().Get("Retry-After"), len(b.requests))
 	}
 }
+
+// Guards against a final answer that tells the client to come again, because a read of the object was rejected.
+func TestAnswerToACompletionDoesNotHaveTheRetryAfterOfItsCheck(t *testing.T) {
+	notFound := &objectstore.Response{Status: http.StatusNotFound, Header: http.Header{}}
+	b := &scriptedBroker{responses: []core.Response[*objectstore.Response]{
+		{Status: core.Success, Value: notFound},
+		{Status: core.Rejection, RetryAfter: 1_500_000},
+	}}
+	w := sendCompletion(testServer(b))
+	if w.Code != http.StatusNotFound || w.Header().Get("Retry-After") != "" {
+		t.Errorf("status %d, Retry-After %q, want 404 without it", w.Code, w.Header().Get("Retry-After"))
+	}
+}
