Block frontend: a drain ends commands that do not come to their end

What callers would see: a drain that goes on beyond its deadline, up to SIGKILL, while a client sends a command slowly or has stopped within it.

Cause: the same as for bodies of the object frontend: the wait did not ask for the drain deadline. It ended with the client's own timeouts, up to the longest deadline of the classes.

Change: at the drain deadline, a connection that waits for the rest of a command answers -BUSY, as nothing was executed, and ends.

Test, failing before: TestDrainEndsIncompleteCommandsAtItsDeadline (the drain of 0.05 s had not ended after 7.5 s, for stopped and slow clients).

--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -116,6 +116,8 @@
 	switch {
 	case isProtocolError(err):
 		c.enqueueEncoded([]byte("-ERR " + err.Error() + "\r\n"))
+	case errors.Is(err, errDrained):
+		c.enqueueRejection()
 	case !errors.Is(err, errIdle) && !errors.Is(err, errQuit):
 		cancel(core.ErrClientDisconnected) // end of stream or reset
 	}
--- a/internal/frontend/block/drain_test.go
+++ b/internal/frontend/block/drain_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
+	"time"
 )
 
 // During DrainServeTime a drain accepts clients and serves requests. Then it closes the listener and the idle
@@ -94,3 +96,37 @@
 	cancel()
 	<-drainReturned
 }
+
+// Guards against a drain that waits beyond its deadline for commands: of clients that have stopped, and of slow ones.
+func TestDrainEndsIncompleteCommandsAtItsDeadline(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"stopped": time.Hour, "slow": 5 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			lim := testLimits()
+			lim.DrainServeTime = millisecond
+			lim.DrainResponseTime = 50 * millisecond
+			h := newHarness(t, lim, 4)
+			c, in := h.dial()
+			send(c, "*4\r\n$2000\r\nx")
+			go func() {
+				for { // until the connection ends
+					<-time.After(pause)
+					if _, err := io.WriteString(c, "x"); err != nil {
+						return
+					}
+				}
+			}()
+			h.waitUntil("part of the command is read", func() bool {
+				for serverConn := range h.server.conns.conns {
+					return serverConn.inCommand.Load()
+				}
+				return false
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), testTimeout/4) // less than the 2,000 bytes of the slow client take
+			defer cancel()
+			if err := h.server.Drain(ctx); err != nil {
+				t.Error(err)
+			}
+			expectText(t, in, "-BUSY 150\r\n")
+		})
+	}
+}
--- a/internal/frontend/block/idle.go
+++ b/internal/frontend/block/idle.go
@@ -14,6 +14,9 @@
 // errCommandStalled ends a connection whose client did not complete a command in time. Nothing of it was executed.
 var errCommandStalled error = &protocolError{reason: "the command did not come to its end in time"}
 
+// errDrained ends a connection whose client has not completed a command by the drain deadline. Nothing of it was executed.
+var errDrained = errors.New("the drain is over")
+
 // activity holds the state that a connection's timeouts and its eviction rank depend on. A time of 0 means never. The
 // connection's reader sets the fields about received bytes, and its writer those about replies. All fields may be read by
 // any goroutine.
@@ -74,6 +77,10 @@
 	if c.pending.Load() > 0 {
 		return nil
 	}
+	if c.inCommand.Load() && c.server.drain.base.Err() != nil {
+		c.close(evicted, clientstats.RejectedDraining)
+		return errDrained
+	}
 	if c.inCommand.Load() {
 		if !c.commandTimedOut(now, evicted) {
 			return nil
