--- a/internal/timing/pacing/pacing_test.go
+++ b/internal/timing/pacing/pacing_test.go
@@ -170,31 +170,45 @@
 		}
 		usual := l.NewClient(second)
 		for now := second; now < 30*second; now += 50_000 {
-			for i, c := range bad {
-				for range 30 {
-					c.CountFreeAnswer(now, NoRequest, 0)
-				}
-				if i%2 == 0 {
-					bad[i] = l.NewClient(now) // it connects anew
-				} else if c.BeginWait(now) > 0 {
-					defer c.EndWait()
-				}
-			}
+			getErrors(l, bad, now)
 			if now%(5*second) == 0 {
 				usual = l.NewClient(now)
 			}
-			if now%(600*1000) == 0 {
-				for range 64 {
-					if d := usual.BeginWait(now); d > 0 {
-						t.Fatalf("beside %d bad clients a client with 107 rejections a second waits for %v", badClients, d)
-					}
-					usual.CountFreeAnswer(now, Rejection, 0)
-				}
+			if now%(600*1000) != 0 {
+				continue
+			}
+			if d := waitOfBatch(usual, now); d > 0 {
+				t.Fatalf("beside %d bad clients a client with 107 rejections a second waits for %v", badClients, d)
 			}
 		}
 	}
 }
 
+// getErrors gives bad clients some errors each. Every other one then connects anew, the others begin to wait and never end.
+func getErrors(l *Limiter, bad []*Client, now clock.Micros) {
+	for i, c := range bad {
+		for range 30 {
+			c.CountFreeAnswer(now, NoRequest, 0)
+		}
+		if i%2 == 0 {
+			bad[i] = l.NewClient(now)
+		} else {
+			c.BeginWait(now)
+		}
+	}
+}
+
+// waitOfBatch returns how long a client waits within a batch of requests that are all rejected.
+func waitOfBatch(c *Client, now clock.Micros) time.Duration {
+	for range 64 {
+		if d := c.BeginWait(now); d > 0 {
+			return d
+		}
+		c.CountFreeAnswer(now, Rejection, 0)
+	}
+	return 0
+}
+
 // Guards against clients that get a new burst with each connection while all together get too many free answers.
 func TestNewClientGetsNoBurstWhileThereAreTooManyAnswers(t *testing.T) {
 	for _, kind := range []Kind{Rejection, NoRequest} {
