Node lists: a faulty row ends no restriction, whatever the fault is

Cause: only faults of single values carried their node's id. Those of cells, quotes, ids, keys and YAML nodes did not, so that the row counted as deleted, or was used without the setting that was faulty; both end the list's restriction. Evidence: the table test below, 18 of whose 26 forms set the node to up on the code before.

Change: faults carry the id wherever it can be told, also from a line with an open quote. A row with a fault keeps its whole last valid content. With a fault that belongs to no known row (an id that cannot be read or stands twice, a group's key), no row counts as deleted and no state becomes less strict while it lasts; of the choices that is the safe one. A row that ends before its state keeps a stricter one. A last line without an end whose cells are faulty counts as half written, so that the guard against mass removals, which used to hold such lists back by accident, is not needed.

--- a/internal/broker/server/nodelists.go
+++ b/internal/broker/server/nodelists.go
@@ -115,22 +115,21 @@
 	}), true
 }
 
-// merge merges all lists. An invalid row keeps its last valid content. If a list cannot be read or was being written
-// while it was read, no node is removed.
+// merge merges all lists. A row with a fault keeps its last valid content. If it cannot be told which row a fault is in, a list
+// cannot be read, or one was being written while it was read, no node is removed; with such a fault, no row's restriction ends.
 func (l *nodeLists) merge(doc *nodefile.Doc, settled bool) listUpdate {
 	next := make(map[string]membership.Entry, len(doc.Rows))
 	for i := range doc.Rows {
 		next[doc.Rows[i].ID] = l.entry(&doc.Rows[i])
 	}
-	l.logFaults(doc.Faults)
-	for _, fault := range doc.Faults {
-		if !fault.IsWarning && fault.Node != "" {
-			l.keepValid(next, fault.Node)
-		}
+	l.logFaults(doc)
+	unattributed := l.keepFaultyRows(next, doc.Faults)
+	if unattributed {
+		l.keepRestrictions(next)
 	}
-	if !doc.Complete || !settled {
+	if !doc.Complete || !settled || unattributed {
 		for id := range l.valid {
-			l.keepValid(next, id)
+			l.keepMissing(next, id)
 		}
 	}
 	l.valid = next
@@ -144,22 +143,51 @@
 	return listUpdate{changed: changed, settled: settled, complete: doc.Complete}
 }
 
-// keepValid adds the last valid content of a node's row to next unless next has a row for this node.
-func (l *nodeLists) keepValid(next map[string]membership.Entry, id string) {
-	if _, ok := next[id]; ok {
-		return
+// keepFaultyRows replaces the rows that have faults in next by their last valid content, if they have any. It reports whether
+// there are faults that belong to no row, or to one that cannot be told.
+func (l *nodeLists) keepFaultyRows(next map[string]membership.Entry, faults []nodefile.Fault) (unattributed bool) {
+	for _, fault := range faults {
+		if fault.IsWarning {
+			continue
+		}
+		old, ok := l.valid[fault.Node]
+		if ok {
+			next[fault.Node] = old
+		}
+		unattributed = unattributed || fault.Node == ""
+	}
+	return unattributed
+}
+
+// keepRestrictions keeps the states of rows in next at least as strict as they were.
+func (l *nodeLists) keepRestrictions(next map[string]membership.Entry) {
+	for id, e := range next {
+		if old := l.valid[id]; old.State > e.State {
+			e.State = old.State
+			next[id] = e
+		}
 	}
-	if old, ok := l.valid[id]; ok {
-		next[id] = old
+}
+
+// keepMissing adds the last valid content of a node's row to next unless next has a row for this node.
+func (l *nodeLists) keepMissing(next map[string]membership.Entry, id string) {
+	if _, ok := next[id]; !ok {
+		next[id] = l.valid[id]
 	}
 }
 
 // logFaults logs the first maxLoggedFaults faults and the number of the others.
-func (l *nodeLists) logFaults(faults []nodefile.Fault) {
+func (l *nodeLists) logFaults(doc *nodefile.Doc) {
+	faults := doc.Faults
 	for _, f := range faults[:min(len(faults), maxLoggedFaults)] {
-		text := "nodes: invalid row, the other rows are used"
-		if f.IsWarning {
+		text := "nodes: invalid row, it keeps its last content, the other rows are used"
+		switch {
+		case f.IsWarning:
 			text = "nodes: row used with a warning"
+		case !doc.Complete:
+			text = "nodes: invalid list, missing rows keep their last content, changes in it may not be in force"
+		case f.Node == "":
+			text = "nodes: fault in an unknown row: while it lasts no row counts as deleted and no restriction ends"
 		}
 		l.log.Warn(text, "at", f.Pos.String(), "key", f.Key, "what", f.Text)
 	}
@@ -203,6 +231,9 @@
 	case "out":
 		e.State = membership.OutOfService
 	}
+	if r.StateMissing {
+		e.State = max(e.State, l.valid[r.ID].State) // a row that was cut off ends no restriction
+	}
 	return e
 }
 
--- a/internal/broker/server/nodelists_test.go
+++ b/internal/broker/server/nodelists_test.go
@@ -118,3 +118,87 @@
 		t.Errorf("got %v, want %s", got, want)
 	}
 }
+
+// Guards against nodes that get work again, because a row that restricts them has become faulty: whatever the fault is, the
+// restriction stays until the row says otherwise.
+func TestFaultyRowEndsNoRestriction(t *testing.T) {
+	const (
+		csvHeader = "id,addr,shard,state\ns-0,10.0.0.1:1,0,up\n"
+		yamlHead  = "g:\n  hosts:\n    s-0: {addr: \"10.0.0.1:1\", shard: 0}\n"
+	)
+	type list struct {
+		file, valid, freed string // with a draining node s-1, and with the same node up
+		faulty             map[string]string
+	}
+	for _, x := range []list{{
+		file:  "nodes.csv",
+		valid: csvHeader + "s-1,10.0.0.2:1,1,draining\n",
+		freed: csvHeader + "s-1,10.0.0.2:1,1,up\n",
+		faulty: map[string]string{
+			"too many cells":          csvHeader + "s-1,10.0.0.2:1,1,draining,\n",
+			"too few cells":           csvHeader + "s-1,10.0.0.2:1,1\n",
+			"open quote":              csvHeader + "s-1,\"10.0.0.2:1,1,draining\n",
+			"open quote at the id":    csvHeader + "\"s-1,10.0.0.2:1,1,draining\n",
+			"quote within the id":     csvHeader + "s\"-1,10.0.0.2:1,1,draining\n",
+			"bad state":               csvHeader + "s-1,10.0.0.2:1,1,drainig\n",
+			"bad address":             csvHeader + "s-1,nowhere,1,up\n",
+			"bad id":                  csvHeader + "s 1,10.0.0.2:1,1,draining\n",
+			"no id":                   csvHeader + ",10.0.0.2:1,1,draining\n",
+			"id of another row":       csvHeader + "s-0,10.0.0.2:1,1,draining\n",
+			"id twice, up first":      csvHeader + "s-1,10.0.0.2:1,1,up\ns-1,10.0.0.2:1,1,draining\n",
+			"fault in an unknown row": csvHeader + "s-1,10.0.0.2:1,1,up\ns 2,10.0.0.3:1,2,up\n",
+			"address of another row":  csvHeader + "s-1,10.0.0.1:1,1,draining\n",
+			"surplus cell, unquoted":  csvHeader + "s-1,\"10.0.0.2:1\",1,draining,x\n",
+			"header lost":             "s-0,10.0.0.1:1,0,up\ns-1,10.0.0.2:1,1,up\n",
+			"cut off, not terminated": csvHeader + "\"s-1",
+		},
+	}, {
+		file:  "nodes.yaml",
+		valid: yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1, state: draining}\n",
+		freed: yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1}\n",
+		faulty: map[string]string{
+			"missing quote":        yamlHead + "    s-1: {addr: \"10.0.0.2:1, shard: 1, state: draining}\n",
+			"unknown key":          yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1, stat: draining}\n",
+			"bad state":            yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1, state: drain}\n",
+			"not a mapping":        yamlHead + "    s-1: draining\n",
+			"list as state":        yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1, state: [draining]}\n",
+			"bad range":            yamlHead + "    s-[1: {addr: \"10.0.0.2:1\", shard: 1, state: draining}\n",
+			"unknown key of group": yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1}\n  var: {state: draining}\n",
+			"bad key of vars":      yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1}\n  vars: {stat: draining}\n",
+			"id twice":             yamlHead + "    s-1: {addr: \"10.0.0.2:1\", shard: 1}\n    s-1: {addr: \"10.0.0.2:1\", shard: 1, state: draining}\n",
+			"bad indentation":      yamlHead + "   s-1: {addr: \"10.0.0.2:1\", shard: 1, state: draining}\n",
+		},
+	}} {
+		for name, faulty := range x.faulty {
+			t.Run(x.file+"/"+name, func(t *testing.T) {
+				path := filepath.Join(t.TempDir(), x.file)
+				l := newTestLists(t, path)
+				members := l.state.nodes.members
+				members.Replace(membership.Discovery, 1, []membership.Entry{
+					{ID: "s-0", Addr: "10.0.0.1:1"}, {ID: "s-1", Addr: "10.0.0.2:1", Shard: 1},
+				}, l.state.nodes.clock.Now())
+				l.replaceAndRead(t, path, x.valid)
+				for range 2 { // read again, the fault still keeps the last valid content
+					l.replaceAndRead(t, path, faulty)
+					if m, ok := members.Get("s-1"); ok && m.State != membership.Draining {
+						t.Fatalf("s-1 is %v", m.State)
+					}
+					if m, ok := members.Get("s-0"); !ok || m.State != membership.Up {
+						t.Fatalf("s-0 is %v, in use %v", m.State, ok)
+					}
+				}
+				l.replaceAndRead(t, path, x.freed)
+				if m, ok := members.Get("s-1"); !ok || m.State != membership.Up {
+					t.Fatalf("s-1 is %v, in use %v, although a valid row says up", m.State, ok)
+				}
+			})
+		}
+	}
+}
+
+// replaceAndRead writes a list and reads it as if it had been settled.
+func (l *nodeLists) replaceAndRead(t *testing.T, path, text string) {
+	t.Helper()
+	writeFile(t, path, text)
+	l.read(func() bool { return true })
+}
--- a/internal/nodes/nodefile/csv.go
+++ b/internal/nodes/nodefile/csv.go
@@ -19,7 +19,7 @@
 	var header []string
 	lineNumber := 0
 	for len(text) > 0 {
-		line, rest, _ := strings.Cut(text, "\n")
+		line, rest, terminated := strings.Cut(text, "\n")
 		text = rest
 		lineNumber++
 		line = strings.TrimSuffix(line, "\r")
@@ -33,11 +33,12 @@
 			if errors.As(err, &pe) {
 				at.Col, err = pe.Column, pe.Err
 			}
-			b.fault(Fault{Pos: at, Text: err.Error()})
+			b.fault(Fault{Pos: at, Text: err.Error(), Node: idOfBrokenLine(line, header)})
 			if header == nil {
 				b.doc.Complete = false
 				return
 			}
+			b.doc.Complete = b.doc.Complete && terminated // otherwise the file may be written half way
 			continue
 		}
 		if header == nil {
@@ -47,7 +48,9 @@
 			}
 			continue
 		}
-		b.addRow(path, lineNumber, header, cells)
+		if !b.addRow(path, lineNumber, header, cells) && !terminated {
+			b.doc.Complete = false // the file may be written half way
+		}
 	}
 	b.lastHeader = header
 	if header == nil {
@@ -56,13 +59,16 @@
 	}
 }
 
-// addRow adds the row of one node.
-func (b *builder) addRow(path string, lineNumber int, header []string, cells []cell) {
+// addRow adds the row of one node. It returns false if its cells do not match the columns.
+func (b *builder) addRow(path string, lineNumber int, header []string, cells []cell) bool {
 	if len(cells) > len(header) {
-		b.fault(Fault{Pos: Pos{path, lineNumber, cells[len(header)].col}, Text: "more cells than columns"})
-		return
+		b.surplusCell(Pos{path, lineNumber, cells[len(header)].col}, header, cells)
+		return false
+	}
+	r := rawRow{
+		vars:         make(map[string]setting, len(cells)),
+		stateMissing: slices.Index(header, "state") >= len(cells),
 	}
-	r := rawRow{vars: make(map[string]setting, len(cells))}
 	for i, c := range cells {
 		f := setting{c.text, Pos{path, lineNumber, c.col}}
 		switch {
@@ -80,6 +86,30 @@
 		r.id.pos = Pos{path, lineNumber, 0}
 	}
 	b.rawRows = append(b.rawRows, r)
+	return true
+}
+
+// surplusCell reports a row that has more cells than there are columns.
+func (b *builder) surplusCell(at Pos, header []string, cells []cell) {
+	f := Fault{Pos: at, Text: "more cells than columns"}
+	if id := cells[slices.Index(header, "id")].text; validID(id) {
+		f.Node = id
+	}
+	b.fault(f)
+}
+
+// idOfBrokenLine returns the node ID of a line whose quotes do not match, or "" if it cannot be told.
+func idOfBrokenLine(line string, header []string) string {
+	column := slices.Index(header, "id")
+	cells := strings.Split(line, ",")
+	if column < 0 || column >= len(cells) || strings.Contains(strings.Join(cells[:column], ""), `"`) {
+		return ""
+	}
+	id := strings.Trim(cells[column], " \t\"")
+	if !validID(id) {
+		return ""
+	}
+	return id
 }
 
 // header returns the names of the columns, or nil if they are invalid.
--- a/internal/nodes/nodefile/nodefile.go
+++ b/internal/nodes/nodefile/nodefile.go
@@ -63,6 +63,8 @@
 	Groups   []string          `json:"groups,omitempty"`
 	Pos      Pos               `json:"pos"`
 	Capacity float64           `json:"capacity,omitempty"` // cores times speed
+
+	StateMissing bool `json:"-"` // the row ends before its state, which is up only by default
 }
 
 // Kind holds the settings shared by all nodes of a kind.
@@ -90,6 +92,8 @@
 	groups    []string
 	nets      *netipx.IPSet // addresses that the node may have; nil if any
 	netsGroup string        // group that sets nets
+
+	stateMissing bool // the row ends before the column of its state
 }
 
 // knownKeys are the keys that a row may have.
@@ -187,12 +191,12 @@
 			continue
 		}
 		if at, twice := ids[row.ID]; twice {
-			b.fault(Fault{Pos: r.id.pos, Key: row.ID, Text: "given twice, first at " + at.String(), IsWarning: false})
+			b.fault(Fault{Pos: r.id.pos, Key: row.ID, Text: "given twice, first at " + at.String()}) // may be another node's row
 			continue
 		}
 		foldedID := strings.ToLower(row.ID)
 		if other, twice := folded[foldedID]; twice {
-			b.fault(Fault{Pos: r.id.pos, Key: row.ID, Text: "differs from " + other + " in case only", Node: row.ID})
+			b.fault(Fault{Pos: r.id.pos, Key: row.ID, Text: "differs from " + other + " in case only"}) // may be another node's row
 			continue
 		}
 		if other, twice := addrs[row.Addr]; twice && row.Addr != "" && row.State != "out" {
--- a/internal/nodes/nodefile/reader.go
+++ b/internal/nodes/nodefile/reader.go
@@ -125,7 +125,9 @@
 		if err != nil {
 			return nil, false
 		}
-		b.addRow(r.path, firstLine+i, r.header, cells)
+		if !b.addRow(r.path, firstLine+i, r.header, cells) {
+			return nil, false
+		}
 	}
 	b.check()
 	return b.doc.Rows, len(b.doc.Faults) == 0
--- a/internal/nodes/nodefile/row.go
+++ b/internal/nodes/nodefile/row.go
@@ -34,7 +34,7 @@
 // row validates the settings of one node and reports whether they are valid. Every fault is recorded.
 func (b *builder) row(r *rawRow) (Row, bool) {
 	p := &rowParser{builder: b, raw: r}
-	p.row = Row{ID: strings.TrimSpace(r.id.text), State: stateUp, Groups: r.groups, Pos: r.id.pos}
+	p.row = Row{ID: strings.TrimSpace(r.id.text), State: stateUp, Groups: r.groups, Pos: r.id.pos, StateMissing: r.stateMissing}
 	if !validID(p.row.ID) {
 		text := fmt.Sprintf("%q is not an ID of 1 to %d letters, digits, '-', '_', '.' or ':'", r.id.text, maxIDLength)
 		b.fault(Fault{Pos: r.id.pos, Key: "id", Text: text})
--- a/internal/nodes/nodefile/yaml.go
+++ b/internal/nodes/nodefile/yaml.go
@@ -196,7 +196,11 @@
 		return
 	}
 	own := map[string]setting{}
+	faultsBefore := len(t.b.doc.Faults)
 	t.vars(n, keyPath, own)
+	if len(ids) == 1 {
+		t.attribute(faultsBefore, ids[0])
+	}
 	for i, id := range ids {
 		m := t.nodes[id]
 		if m == nil {
@@ -221,6 +225,13 @@
 	}
 }
 
+// attribute records that the faults from an index on are in the row of a node.
+func (t *yamlParser) attribute(first int, id string) {
+	for i := range t.b.doc.Faults[first:] {
+		t.b.doc.Faults[first+i].Node = id
+	}
+}
+
 func (t *yamlParser) vars(n *yaml.Node, keyPath string, to map[string]setting) {
 	t.eachPair(n, keyPath, func(key string, k, v *yaml.Node) {
 		v = yamltree.Resolve(v)
