Node lists: a list that returns to the text before an unsettled read is in force

What callers would see: after two edits within a fraction of a second, the second back to the first text, the state in between stays: a node that its row drains gets work.

Cause: a list that is being written is merged from a full read, but the reader of CSV lists goes on comparing with the last settled text. When the file returns to that, it finds no change.

Change: an unsettled read resets the reader, so that the next list is parsed and merged whole.

Test, failing before: TestListThatReturnsToItsLastTextIsInForce (s-1 is up).

--- a/internal/broker/server/nodelists.go
+++ b/internal/broker/server/nodelists.go
@@ -75,6 +75,9 @@
 		return listUpdate{changed: changed, settled: true, complete: true}
 	}
 	doc, isSettled := l.load(settled)
+	if !isSettled {
+		l.csv = nodefile.Reader{} // what is merged now may differ from the text that it compares the next one with
+	}
 	return l.merge(doc, isSettled)
 }
 
--- a/internal/broker/server/nodelists_test.go
+++ b/internal/broker/server/nodelists_test.go
@@ -202,3 +202,18 @@
 	writeFile(t, path, text)
 	l.read(func() bool { return true })
 }
+
+// Guards against a list that is read while it is being written and then returns to the text that was read before: the state in
+// between must not stay.
+func TestListThatReturnsToItsLastTextIsInForce(t *testing.T) {
+	const list = "id,addr,shard,state\ns-0,10.0.0.1:1,0,up\ns-1,10.0.0.2:1,1,draining\n"
+	path := filepath.Join(t.TempDir(), "nodes.csv")
+	l := newTestLists(t, path)
+	l.replaceAndRead(t, path, list)
+	writeFile(t, path, strings.Replace(list, "draining", "up", 1))
+	l.read(func() bool { return false })
+	l.replaceAndRead(t, path, list)
+	if m, ok := l.state.nodes.members.Get("s-1"); !ok || m.State != membership.Draining {
+		t.Errorf("s-1 is %v, in use %v, want draining, as its row says", m.State, ok)
+	}
+}
