Membership: a restriction ends only by a later statement of its source

Cause: a source's last word on a node went with its entry, so that the other sources decided as if the first had never named it.

`inventory explain` names source, time and what ends it; a log line says when a restriction outlives its entry. A replacement under the old address gets work.

--- a/internal/broker/server/nodeset.go
+++ b/internal/broker/server/nodeset.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"log/slog"
 	"slices"
 
 	"poppyarch/internal/broker/config"
@@ -22,6 +23,7 @@
 	dispatcher *dispatcher.Dispatcher
 	discovery  *discovery.Client
 	recording  *recording
+	log        *slog.Logger
 	zones      []string // names, by zone number
 
 	members  *membership.Set // nil if discovery is the only source of nodes
@@ -36,6 +38,7 @@
 		dispatcher: b.dispatcher,
 		discovery:  b.discovery,
 		recording:  b.recording,
+		log:        b.log,
 		zones:      b.cfg.Zones,
 	}
 	if b.cfg.Control == nil && b.cfg.Nodes == nil {
@@ -72,6 +75,7 @@
 
 // publishChanges publishes changes of the membership, if there are any.
 func (s *nodeSet) publishChanges(changed []membership.Member) {
+	s.logOutlived()
 	if len(changed) > 0 {
 		s.publish(s.coreNodes(changed), false)
 	}
@@ -106,12 +110,21 @@
 		entries = append(entries, e)
 	}
 	version := s.nextVersion(membership.Discovery)
+	defer s.logOutlived()
 	if full {
 		return s.members.Replace(membership.Discovery, version, entries, s.clock.Now())
 	}
 	return s.members.Update(membership.Discovery, version, entries, removed, s.clock.Now())
 }
 
+// logOutlived logs the restrictions that have outlived the entries that made them.
+func (s *nodeSet) logOutlived() {
+	for _, o := range s.members.TakeOutlived() {
+		s.log.Info("nodes: a restriction stays although its source no longer names the node", "node", o.ID,
+			"source", o.Source.String(), "state", o.State.String())
+	}
+}
+
 // mergeOperators replaces the operators' overrides and returns the members that changed.
 func (s *nodeSet) mergeOperators(overrides []spec.NodeOverride) []membership.Member {
 	entries := make([]membership.Entry, 0, len(overrides))
--- a/internal/nodes/membership/explain.go
+++ b/internal/nodes/membership/explain.go
@@ -1,6 +1,11 @@
 package membership
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+
+	"poppyarch/internal/timing/clock"
+)
 
 // Phase is a stage in the life cycle of a node.
 type Phase string
@@ -44,6 +49,11 @@
 	}
 	for i := range s.sources {
 		source := &s.sources[i]
+		if kept, ok := source.retained[id]; ok {
+			explanation.Facts = append(explanation.Facts, Fact{Source: Source(i).String(), Statement: kept.state.String(), Origin: kept.origin})
+			explanation.Notes = append(explanation.Notes, fmt.Sprintf("%s no longer names it, since %v: it stays %s until %s names it again",
+				Source(i), clock.Duration(s.now-kept.since).Round(time.Second), kept.state, Source(i)))
+		}
 		e := source.entry(id)
 		if e == nil {
 			continue
--- a/internal/nodes/membership/membership.go
+++ b/internal/nodes/membership/membership.go
@@ -1,8 +1,21 @@
 // Package membership merges the storage nodes named by discovery, files and operators into one view. It does no I/O and
-// reads no clock: the caller passes the time. The view depends only on the latest state of each source, so updates may
-// arrive in any order, repeat, or be skipped if a later one from the same source follows.
+// reads no clock: the caller passes the time. The view depends only on what each source has stated so far, so updates of
+// different sources may arrive in any order, and outdated ones may repeat.
 //
-// Three mechanisms protect the view. The strictest state that any source gives a node takes effect. A source that omits
+// Each source has a last word on a node, and the strictest one takes effect. A restriction ends only by a later statement of the
+// source that made it:
+//
+//	                       discovery                files                     operators
+//	never named            no word                  no word                   no word
+//	up, draining, out      that state               that state                that state
+//	no longer named        removed: out             a drain or out stays,     no word: a command
+//	                                                up becomes no word        has ended it
+//	silent, not readable   the word before          the word before           the word before
+//
+// A node is identified by its ID: a replacement under the address of a removed one is another node. A process that starts anew
+// knows only what its sources state then.
+//
+// Two more mechanisms protect the view. A source that omits
 // many nodes simultaneously is assumed to be faulty, and the removals are held back for a time. A node that leaves and
 // returns repeatedly is suppressed, as in route flap damping, until its penalty has decayed.
 package membership
--- a/internal/nodes/membership/node.go
+++ b/internal/nodes/membership/node.go
@@ -43,6 +43,7 @@
 func (s *Set) merge(id string) (m Member, known bool) {
 	m = Member{ID: id}
 	for i := range s.sources {
+		m.State = max(m.State, s.sources[i].retained[id].state)
 		e := s.sources[i].entry(id)
 		if e == nil {
 			continue
--- a/internal/nodes/membership/set.go
+++ b/internal/nodes/membership/set.go
@@ -22,6 +22,7 @@
 	wheel       *timerwheel.Wheel
 	dirty       map[string]bool // nodes to be merged again
 	epoch       uint64
+	outlived    []Outlived // until TakeOutlived is called
 }
 
 // New returns an empty set.
@@ -76,6 +77,14 @@
 		}
 	}
 	s.guardRemovals(from, omitted)
+	for _, id := range omitted {
+		if source.removal.entries[id] == nil {
+			s.retire(from, id, source.entries[id])
+		}
+	}
+	for id := range next {
+		s.nameAgain(from, id)
+	}
 	source.entries = next
 	s.markKnown(from)
 	return s.changes()
@@ -96,11 +105,11 @@
 			s.dirty[e.ID] = true
 		}
 		delete(source.removal.entries, e.ID)
+		s.nameAgain(from, e.ID)
 	}
 	for _, id := range removed {
-		if source.entry(id) != nil {
-			s.dirty[id] = true
-		}
+		s.dirty[id] = true
+		s.retire(from, id, source.entry(id))
 		delete(source.entries, id)
 		delete(source.removal.entries, id)
 	}
@@ -135,7 +144,7 @@
 	s.wheel.Advance(s.now, func(t *timerwheel.Timer) {
 		for i := range s.sources {
 			if t == &s.sources[i].removal.timer {
-				s.releaseRemovals(&s.sources[i])
+				s.releaseRemovals(Source(i))
 				return
 			}
 		}
