Frontends: the system's time of an arrival counts only as far as the own clock allows

Cause: take how long input has waited before its connection was accepted from TCP_INFO. That is the kernel's clock. Found by reading; not seen.

Change: input cannot be older than the last time at which an accept had to wait for a client, by the process's own clock (for the object frontend also than the last read of the connection). A listener that is not held up waits between clients, so that the system's time has no effect then.

Test: TestFirstInputCountsFromItsArrivalBeforeTheAccept, whose second case fails without the bound (100 ms old, want 0); the cases "no connection free" of both frontends hold as before.

--- a/internal/frontend/block/arrivals_test.go
+++ b/internal/frontend/block/arrivals_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"testing"
+	"time"
 
 	"poppyarch/internal/timing/clock"
 )
@@ -59,3 +61,39 @@
 		}
 	}
 }
+
+// Guards against deadlines that are cut by the difference between two clocks: input that came before its connection was
+// accepted counts from the system's time of its arrival, but not from before this process's clock allows.
+func TestFirstInputCountsFromItsArrivalBeforeTheAccept(t *testing.T) {
+	const waits = 100 * time.Millisecond
+	for _, x := range []struct {
+		noneWaitedFor clock.Micros // before now
+		want          func(age clock.Micros) bool
+	}{
+		{hour, func(age clock.Micros) bool { return age >= clock.FromDuration(waits)/2 }},
+		{0, func(age clock.Micros) bool { return age < clock.FromDuration(waits)/2 }},
+	} {
+		h := newHarness(t, testLimits(), 4)
+		ln := listen(t)
+		client, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer disconnect(client)
+		accepted, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer disconnect(accepted)
+		send(client, readCommand("a"))
+		<-time.After(waits)
+		now := h.server.clock.Now()
+		c := newConn(h.server, accepted, now-x.noneWaitedFor)
+		if _, err := c.reader.next(); err != nil {
+			t.Fatal(err)
+		}
+		if age := now - c.reader.arrivedAt(now); !x.want(age) {
+			t.Errorf("none waited %d us ago: the input counts as %d us old", x.noneWaitedFor, age)
+		}
+	}
+}
--- a/internal/frontend/block/conn.go
+++ b/internal/frontend/block/conn.go
@@ -49,7 +49,8 @@
 	writeFailed atomic.Bool             // a reply could not be sent
 }
 
-func newConn(s *Server, nc net.Conn) *conn {
+// newConn returns the connection of a client. All that it has sent has arrived after noneWaitedAt.
+func newConn(s *Server, nc net.Conn, noneWaitedAt clock.Micros) *conn {
 	now := s.clock.Now()
 	c := &conn{
 		Conn:     nc,
@@ -58,7 +59,7 @@
 		replies:  newReplyQueue(),
 		pace:     s.pacing.NewClient(now),
 	}
-	c.reader = commandReader{net: nc, clock: s.clock, client: c, scanner: scanner{lim: s.lim}}
+	c.reader = commandReader{net: nc, clock: s.clock, client: c, scanner: scanner{lim: s.lim}, noneWaitedAt: noneWaitedAt}
 	c.idleSince.Store(now)
 	return c
 }
--- a/internal/frontend/block/idle_test.go
+++ b/internal/frontend/block/idle_test.go
@@ -96,7 +96,7 @@
 	}
 	defer disconnect(accepted)
 	await(t, "the command's bytes", func() bool { return socket.Peek(accepted) == socket.Readable })
-	c := newConn(h.server, accepted)
+	c := newConn(h.server, accepted, h.server.clock.Now())
 	c.acceptedAt = -1 << 60 // has been silent for longer than any timeout
 	c.idleSince.Store(0)
 	c.reader.wake()
--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -36,6 +36,7 @@
 
 	arrivals     arrivals
 	observedAt   clock.Micros // when the unread input was looked at last
+	noneWaitedAt clock.Micros // before the first input arrived
 	chunk        [chunkBytes]byte
 	unread       []byte // the part of chunk that has not been scanned
 	partial      []byte // the beginning of a command whose end is not in chunk; its capacity is reserved
@@ -173,7 +174,9 @@
 	}
 	now := r.clock.Now()
 	if since, ok := socket.SinceLastArrival(r.net); ok && r.arrivals.count == 0 {
-		r.arrivals.observe(0, now-clock.FromDuration(since)) // it arrived before the connection was accepted
+		// It arrived before the connection was accepted. The system's clock need not be this one, so it is not trusted beyond
+		// what this one tells.
+		r.arrivals.observe(0, max(now-clock.FromDuration(since), r.noneWaitedAt))
 	}
 	r.arrivals.observe(unread, now)
 	return true
--- a/internal/frontend/block/server.go
+++ b/internal/frontend/block/server.go
@@ -95,7 +95,7 @@
 	s.mu.Lock()
 	s.listener = ln
 	s.mu.Unlock()
-	l := &listener{Listener: ln, server: s}
+	l := &listener{Listener: ln, server: s, noneWaitedAt: s.clock.Now()}
 	var serving sync.WaitGroup
 	defer serving.Wait()
 	for {
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -34,12 +34,12 @@
 
 	mu           sync.Mutex // may be locked while the server's mu is held, not the other way round
 	mode         endMode
-	evicted      bool // to be closed for another client, unless a request arrives
-	busy         bool // a request has been read completely, up to its body, and is not answered yet
-	requestBegun bool // part of the next request has been read
-	readingBody  bool // the handler waits for more of the body
-	cutOff       bool // to be closed for another client, unless more of its request arrives
-	lastReadAt   clock.Micros
+	evicted      bool         // to be closed for another client, unless a request arrives
+	busy         bool         // a request has been read completely, up to its body, and is not answered yet
+	requestBegun bool         // part of the next request has been read
+	readingBody  bool         // the handler waits for more of the body
+	cutOff       bool         // to be closed for another client, unless more of its request arrives
+	lastReadAt   clock.Micros // or when the client had not sent anything yet
 	inputAt      clock.Micros // when the bytes that were read last had arrived
 	readDeadline time.Time    // as net/http or the handler has set it
 	partDeadline time.Time    // by which more of the request must have arrived; zero if nothing is awaited
@@ -74,17 +74,20 @@
 // inputWaitsSince returns since when input has waited to be read. ok is false if none does, or if it belongs to the body of
 // a request or follows that.
 func (c *conn) inputWaitsSince() (since clock.Micros, ok bool) {
-	if c.isBusy() || socket.Peek(c.Conn) != socket.Readable {
+	readAt, busy := c.lastRead()
+	if busy || socket.Peek(c.Conn) != socket.Readable {
 		return 0, false
 	}
 	waits, ok := socket.SinceLastArrival(c.Conn)
-	return c.server.clock.Now() - clock.FromDuration(waits), ok
+	// The system's clock need not be this one, so it is not trusted beyond what this one tells.
+	return max(c.server.clock.Now()-clock.FromDuration(waits), readAt), ok
 }
 
-func (c *conn) isBusy() bool {
+// lastRead returns when bytes were read last, and whether a request is being handled.
+func (c *conn) lastRead() (at clock.Micros, busy bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.busy
+	return c.lastReadAt, c.busy
 }
 
 // readArrived reads bytes that have already arrived if the read has timed out because the connection is to end. If
--- a/internal/transport/httpserver/listener.go
+++ b/internal/transport/httpserver/listener.go
@@ -12,19 +12,29 @@
 // admitInterval is how often admit looks again for a connection that may be closed for a new client.
 const admitInterval = 20 * time.Millisecond
 
+// blockedAccept is the shortest time of an accept that has waited for a client.
+const blockedAccept clock.Micros = 1000
+
 // listener accepts the connections of a server and keeps their number within the limit.
 type listener struct {
 	net.Listener
 	server *Server
+	// noneWaitedAt is when no client was waiting to be accepted, as far as is known. All that a client accepted now has sent
+	// has arrived since.
+	noneWaitedAt clock.Micros
 }
 
 // Accept returns the next client once there is room for its connection.
 func (l *listener) Accept() (net.Conn, error) {
+	begun := l.server.clock.Now()
 	nc, err := l.Listener.Accept()
+	if now := l.server.clock.Now(); now-begun >= blockedAccept {
+		l.noneWaitedAt = now
+	}
 	if err != nil {
 		return nil, err
 	}
-	c := l.server.admit(nc)
+	c := l.server.admit(nc, l.noneWaitedAt)
 	if c == nil {
 		_ = nc.Close() // nothing was read from it
 		return nil, net.ErrClosed
@@ -33,8 +43,8 @@
 }
 
 // admit waits until there is room for another connection and registers it. It returns nil if the server stops accepting
-// clients meanwhile.
-func (s *Server) admit(nc net.Conn) *conn {
+// clients meanwhile. All that the client has sent has arrived after noneWaitedAt.
+func (s *Server) admit(nc net.Conn, noneWaitedAt clock.Micros) *conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.opts.MaxConns > 0 && len(s.conns) >= s.opts.MaxConns && !s.stopped {
@@ -47,7 +57,7 @@
 		return nil
 	}
 	now := s.clock.Now()
-	c := &conn{Conn: nc, server: s, mode: s.mode, stateSince: now}
+	c := &conn{Conn: nc, server: s, mode: s.mode, stateSince: now, lastReadAt: noneWaitedAt}
 	if s.opts.Pacing != nil {
 		c.pace = s.opts.Pacing.NewClient(now)
 	}
--- a/internal/transport/httpserver/server.go
+++ b/internal/transport/httpserver/server.go
@@ -92,7 +92,7 @@
 		_ = ln.Close() // nothing was accepted
 		return nil
 	}
-	err := s.http.Serve(&listener{Listener: ln, server: s})
+	err := s.http.Serve(&listener{Listener: ln, server: s, noneWaitedAt: s.clock.Now()})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stopped {
