Cluster tests: a chosen port cannot be taken before its server starts

Cause: FreeAddresses closed its listeners before the brokers were started. From then on, and whenever a broker was down, the system could give the port to any outgoing connection as its own, and the broker's listen failed with EADDRINUSE for as long as that lasted.

Change: ReserveAddresses keeps a socket bound to each port without listening. A listener may share it (SO_REUSEADDR, which package net sets); connections and listeners that ask for any port do not get it, also while a server is started again. It serves the cluster tests and the lab. The fleet tests now print the brokers' logs when they fail.

Test: TestReservedAddressIsKeptForItsServer; with the former function a connection can be bound to the address.

--- a/cmd/poppyarch/fleet_test.go
+++ b/cmd/poppyarch/fleet_test.go
@@ -58,7 +58,7 @@
 			t.Error(err)
 		}
 		if t.Failed() {
-			f.printLogs("manager.log", "agent1.log", "agent2.log")
+			f.printLogs()
 		}
 	})
 	if err := s.Start(ctx); err != nil {
@@ -67,10 +67,16 @@
 	return f
 }
 
-func (f *runningFleet) printLogs(names ...string) {
-	for _, name := range names {
-		b, err := os.ReadFile(filepath.Join(f.dir, name))
-		f.t.Logf("%s: %v\n%s", name, err, b)
+// printLogs prints the logs of the manager, the agents and the brokers.
+func (f *runningFleet) printLogs() {
+	paths, err := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	ofBrokers, brokersErr := filepath.Glob(filepath.Join(f.dir, "run*", "*.log"))
+	if err := errors.Join(err, brokersErr); err != nil {
+		f.t.Error(err)
+	}
+	for _, path := range append(paths, ofBrokers...) {
+		b, err := os.ReadFile(path)
+		f.t.Logf("%s: %v\n%s", path, err, b)
 	}
 }
 
--- a/internal/lab/load/install.go
+++ b/internal/lab/load/install.go
@@ -112,10 +112,11 @@
 	if err != nil {
 		return err
 	}
-	addrs, err := cluster.FreeAddresses(in.Scenario.Brokers)
+	addrs, release, err := cluster.ReserveAddresses(in.Scenario.Brokers)
 	if err != nil {
 		return err
 	}
+	in.stops = append(in.stops, release)
 	type m = map[string]any
 	for i, addr := range addrs {
 		name := fmt.Sprint("b", i+1)
--- a/internal/testkit/cluster/cluster.go
+++ b/internal/testkit/cluster/cluster.go
@@ -101,10 +101,11 @@
 	if err := s.writeFile("broker.json", s.brokerConfig(discoveryAddr)); err != nil {
 		return nil, err
 	}
-	addrs, err := FreeAddresses(o.BlockBrokers + o.ObjectBrokers + 1)
+	addrs, release, err := ReserveAddresses(o.BlockBrokers + o.ObjectBrokers + 1)
 	if err != nil {
 		return nil, err
 	}
+	s.stops = append(s.stops, func() { _ = release() }) // fails only for sockets that are closed already
 	s.BlockFrontendAddrs, s.ObjectFrontendAddrs = addrs[:o.BlockBrokers], addrs[o.BlockBrokers:o.BlockBrokers+o.ObjectBrokers]
 	managerAddr := addrs[o.BlockBrokers+o.ObjectBrokers]
 	soak := o.SoakTime
@@ -124,20 +125,6 @@
 		managerAddr, managerAddr, soak.Milliseconds()))
 }
 
-// FreeAddresses returns n free addresses on loopback. They are no longer bound when FreeAddresses returns; the system
-// does not assign the same port again soon.
-func FreeAddresses(n int) (addrs []string, err error) {
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = ln.Close() }()
-		addrs = append(addrs, ln.Addr().String())
-	}
-	return addrs, nil
-}
-
 // writeFile replaces a file in the installation's folder atomically.
 func (s *Cluster) writeFile(name, text string) error {
 	tmp := filepath.Join(s.options.Dir, ".new")
