--- a/internal/testkit/overload/batches_test.go
+++ b/internal/testkit/overload/batches_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"strconv"
 	"strings"
@@ -221,3 +222,40 @@
 	return command("BLK.READ", "7f3a9c21e0b4d655", fmt.Sprintf("over-%d-%d", client, n),
 		fmt.Sprintf("c=%s,t=%s,d=2500,volume=%016x,units=8,shard=%d,hosts=1", readClass, plan, 1000+client, n%shards))
 }
+
+// sendPipelined returns a client that sends an HTTP request many times in one write, reads the responses, and begins anew.
+func sendPipelined(request string, times int) badClient {
+	return func(ctx context.Context, nc net.Conn, _ int) {
+		in := bufio.NewReader(nc)
+		for ctx.Err() == nil {
+			go func() { _, _ = io.WriteString(nc, strings.Repeat(request, times)) }() // it may not fit the buffers
+			for range times {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				if resp.Close {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Guards against usual requests of the object frontend that wait for seconds while bad clients get errors at full speed.
+func TestObjectRequestsAreAnsweredInTimeBesideBadClients(t *testing.T) {
+	for name, x := range map[string]struct {
+		clients int
+		play    badClient
+	}{
+		"bursts of unknown methods by 250": {250, sendPipelined("BREW /art/x HTTP/1.1\r\nHost: b\r\n\r\n", 100)},
+		"health checks by 250":             {250, sendPipelined("GET /_health HTTP/1.1\r\nHost: b\r\n\r\n", 1)},
+		"uploads without a length by 50":   {50, sendPipelined("PUT /art/x HTTP/1.1\r\nHost: b\r\nConnection: close\r\n\r\n", 1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := start(t, objectFrontend, limits{memoryMB: 192, sockets: 1024})
+			playBesideUsualClients(in, 5*time.Second, x.clients, x.play)
+		})
+	}
+}
