Frontends: the time of the first input is asked for once; comments reflowed

Cause: the read of the change found that the block frontend asked the system for the time of the last arrival at each read that found input, and used the answer for the first one alone.

Change: it asks for the first one.

--- a/internal/frontend/block/reader.go
+++ b/internal/frontend/block/reader.go
@@ -173,15 +173,21 @@
 		return false
 	}
 	now := r.clock.Now()
-	if since, ok := socket.SinceLastArrival(r.net); ok && r.arrivals.count == 0 {
-		// It arrived before the connection was accepted. The system's clock need not be this one, so it is not trusted beyond
-		// what this one tells.
-		r.arrivals.observe(0, max(now-clock.FromDuration(since), r.noneWaitedAt))
+	if r.arrivals.count == 0 {
+		r.observeFirst(now)
 	}
 	r.arrivals.observe(unread, now)
 	return true
 }
 
+// observeFirst records when input has arrived that came before the connection was accepted. The system's clock need not be this
+// one, so it is not trusted beyond what this one tells.
+func (r *commandReader) observeFirst(now clock.Micros) {
+	if since, ok := socket.SinceLastArrival(r.net); ok {
+		r.arrivals.observe(0, max(now-clock.FromDuration(since), r.noneWaitedAt))
+	}
+}
+
 // observeWaiting is like observe for a reader that waits before it reads on. It must be called often.
 func (r *commandReader) observeWaiting() {
 	now := r.clock.Now()
--- a/internal/transport/httpserver/conn.go
+++ b/internal/transport/httpserver/conn.go
@@ -126,8 +126,8 @@
 	return c.ended
 }
 
-// recordRead records bytes that net/http has read, and when they had arrived. A connection that was to be closed for another client is kept for them.
-// It returns false if the head of the request has too many fields.
+// recordRead records bytes that net/http has read, and when they had arrived. A connection that was to be closed for another
+// client is kept for them. It returns false if the head of the request has too many fields.
 func (c *conn) recordRead(b []byte, arrivedAt clock.Micros) bool {
 	c.mu.Lock()
 	keep := c.cutOff || c.evicted && !c.busy
