--- a/internal/nodes/membership/membership_test.go
+++ b/internal/nodes/membership/membership_test.go
@@ -203,7 +203,9 @@
 			return
 		}
 	}
-	if n := m.set.nodes[id]; known && !(n != nil && n.suppressed) {
+	n := m.set.nodes[id]
+	suppressed := n != nil && n.suppressed
+	if known && !suppressed {
 		t.Fatalf("%s is not used, but no source restricts it", id)
 	}
 }
