Pacing: a client that sends large input that is no request waits up to 2 s

Cause: the bound of 0.4 s gives each client 2.5 commands a second whatever they cost: 320 clients send 52 MB a second, and as much is echoed. Before, the share alone held them back.

Clients of small requests keep their bounds of 0.1 s and 0.4 s.

--- a/internal/timing/pacing/pacing.go
+++ b/internal/timing/pacing/pacing.go
@@ -18,10 +18,15 @@
 	// MaxRejectionWait is the longest time that a client waits before one request is read, unless it has sent much that is
 	// no request.
 	MaxRejectionWait = 100 * time.Millisecond
-	// MaxWait is the longest time that any client waits before one request is read. It is less than the half second by which
-	// an answer may come after its deadline.
+	// MaxWait is the longest time that a client waits before one request is read, unless the last thing that it sent and that
+	// is no request was large. It is less than the half second by which an answer may come after its deadline.
 	MaxWait = 400 * time.Millisecond
+	// MaxLargeWait is the longest time that any client waits. It is less than the three seconds in which a client that sends
+	// no requests gets its error.
+	MaxLargeWait = 2 * time.Second
 
+	// largeCost is the cost from which on an answer to no request makes its client wait for up to MaxLargeWait.
+	largeCost = 8
 	// maxDelay limits a single wait, so that the end of the connection is noticed.
 	maxDelay = 100 * time.Millisecond
 	// graceAnswers is the number of free answers that a client gets without a wait even if the others together get too
@@ -43,9 +48,6 @@
 	kindCount
 )
 
-// maxWaits holds the longest time that a client waits before one request because of the free answers of one kind.
-var maxWaits = [kindCount]time.Duration{Rejection: MaxRejectionWait, NoRequest: MaxWait}
-
 // Limiter limits the free answers of all clients of a process. Its methods may be called by any goroutine.
 type Limiter struct {
 	rate  float64 // free answers of one kind per second, for all waiting clients together
@@ -59,7 +61,8 @@
 type account struct {
 	tokens     float64
 	refilledAt clock.Micros
-	waiting    int // number of clients that wait because of this kind; only in the common accounts
+	lastCost   float64 // of the last free answer; only in the accounts of clients
+	waiting    int     // number of clients that wait because of this kind; only in the common accounts
 }
 
 // NewLimiter returns a limiter that allows ratePerSecond free answers of each kind, and burst of one client at once.
@@ -108,11 +111,12 @@
 	l.refill(c, kind, now)
 	l.common[kind].tokens = max(l.common[kind].tokens-cost, -l.rate)
 	c.accounts[kind].tokens = max(c.accounts[kind].tokens-cost, -l.burst-cost)
+	c.accounts[kind].lastCost = cost
 }
 
 // BeginWait returns how long the client waits before it is asked again whether its next request may be read. If that is not
 // 0, EndWait must be called afterwards. The waits before one request take MaxRejectionWait in all at most if the client waits
-// because of rejections alone, or else MaxWait.
+// because of rejections alone, or else MaxWait or MaxLargeWait.
 func (c *Client) BeginWait(now clock.Micros) time.Duration {
 	l := c.limiter
 	l.mu.Lock()
@@ -124,7 +128,7 @@
 	longest := time.Duration(0)
 	for kind := range kindCount {
 		l.refill(c, kind, now)
-		delay := min(l.delay(c, kind), maxWaits[kind]-waited, maxDelay)
+		delay := min(l.delay(c, kind), c.maxWait(kind)-waited, maxDelay)
 		if delay > longest {
 			longest = delay
 			c.waitsFor = kind
@@ -137,6 +141,18 @@
 	return longest
 }
 
+// maxWait returns the longest time that the client waits before one request because of the free answers of one kind. The caller
+// holds the limiter's mu.
+func (c *Client) maxWait(kind Kind) time.Duration {
+	switch {
+	case kind == Rejection:
+		return MaxRejectionWait
+	case c.accounts[kind].lastCost >= largeCost:
+		return MaxLargeWait
+	}
+	return MaxWait
+}
+
 // EndWait ends a wait.
 func (c *Client) EndWait() {
 	c.limiter.mu.Lock()
