Pacing: a client's debt counts all requests that were read before the first rejection

Cause: limited a client's debt to its burst. A flood has up to 1,024 requests read before the first rejection is counted, so that most of them were forgiven and the client got several times the rate.

Change: the debt is limited to a second of the rate, as the common one is.

Test, failing before: TestRejectionsOfRequestsReadTogetherAreAllPaidFor.

--- a/internal/timing/pacing/pacing.go
+++ b/internal/timing/pacing/pacing.go
@@ -110,7 +110,7 @@
 	defer l.mu.Unlock()
 	l.refill(c, kind, now)
 	l.common[kind].tokens = max(l.common[kind].tokens-cost, -l.rate)
-	c.accounts[kind].tokens = max(c.accounts[kind].tokens-cost, -l.burst-cost)
+	c.accounts[kind].tokens = max(c.accounts[kind].tokens-cost, -l.rate) // many requests may be answered after the last wait
 	c.accounts[kind].lastCost = cost
 }
 
--- a/internal/timing/pacing/pacing_test.go
+++ b/internal/timing/pacing/pacing_test.go
@@ -231,3 +231,17 @@
 		}
 	}
 }
+
+// Guards against a client that gets several times the rate: it has a thousand requests read before the first one is rejected,
+// and its debt for all of them counts.
+func TestRejectionsOfRequestsReadTogetherAreAllPaidFor(t *testing.T) {
+	l := NewLimiter(2000, 256)
+	c := l.NewClient(second)
+	for range 1000 {
+		c.CountFreeAnswer(second, Rejection, 0)
+	}
+	now := second + 200_000 // 400 of them are paid for, 256 were free
+	if c.BeginWait(now) == 0 {
+		t.Error("a client does not wait although it has not paid for its rejections")
+	}
+}
